--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+BIN := bin
+
+.PHONY: build demo test prove measure capacity lint format generate
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	go run ./test/demo $(BIN)
+
+test:
+	go test -race -count=1 ./...
+
+format:
+	cd tools && go run mvdan.cc/gofumpt -w ../cmd ../internal ../pkg ../test
+
+generate:
+	./schema/generate.sh
--- /dev/null
+++ b/cmd/eelgrasstide/check.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/rules"
+)
+
+const checkUsage = `Check a folder of configuration files without a host.
+
+Files that end in .toml are merged in the order of their names. Every mistake is
+printed as file:line: key: what is wrong; what to do.
+
+Example: eelgrasstide check ./configuration`
+
+func checkCommand(app *kingpin.Application, _ *common) (string, func(context.Context) error) {
+	cmd := app.Command("check", checkUsage)
+	path := cmd.Arg("path", "Folder, or one file.").Required().String()
+	return cmd.FullCommand(), func(context.Context) error {
+		files, err := readFiles(*path)
+		if err != nil {
+			return err
+		}
+		_, problems := rules.Merge(0, files)
+		for _, problem := range problems {
+			fmt.Println(problem)
+		}
+		if len(problems) > 0 {
+			return exit(exitError)
+		}
+		fmt.Printf("%d files are valid\n", len(files))
+		return nil
+	}
+}
+
+// readFiles reads one file, or every .toml file of a folder.
+func readFiles(path string) ([]rules.File, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w; name an existing file or folder", err)
+	}
+	paths := []string{path}
+	if info.IsDir() {
+		if paths, err = filepath.Glob(filepath.Join(path, "*.toml")); err != nil {
+			return nil, err
+		}
+	}
+	if len(paths) == 0 {
+		return nil, fmt.Errorf("%s holds no .toml file; name another folder", path)
+	}
+	var out []rules.File
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		name := filepath.Base(path)
+		if strings.HasPrefix(name, ".") {
+			continue
+		}
+		out = append(out, rules.File{Name: name, Text: text})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/dispatcher/work.go
@@ -0,0 +1,111 @@
+package dispatcher
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/admission"
+	"github.com/eelgrasstide/eelgrasstide/internal/journal"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/pkg/outcome"
+)
+
+// work is one request from acceptance to its end. The dispatcher's lock guards it.
+type work struct {
+	ticket   string
+	req      *wire.WorkRequest
+	class    *wire.Class
+	weight   float64
+	accepted time.Time
+	deadline time.Time
+	journal  *journal.Journal
+	item     *admission.Item
+	// tried holds the runners that this request should not go to again.
+	tried    map[string]bool
+	attempts int
+	active   int
+	target   string
+	// durable says that a journal record names this request.
+	durable bool
+	hedged  bool
+
+	done  chan struct{}
+	out   outcome.Outcome
+	ended time.Time
+}
+
+func (w *work) idempotent() bool { return w.class.GetIdempotent() }
+
+func (w *work) finished() bool { return w.out != nil }
+
+func (w *work) record(kind wire.RecordKind) *wire.JournalRecord {
+	return &wire.JournalRecord{
+		Kind: kind, Id: w.ticket, Organisation: w.req.GetOrganisation(), Class: w.req.GetClass(),
+		Idempotent: w.idempotent(), At: timestamppb.Now(),
+	}
+}
+
+// acceptance holds all that a survivor needs to run the request.
+func (w *work) acceptance() *wire.JournalRecord {
+	record := w.record(wire.RecordKind_RECORD_KIND_ACCEPTED)
+	record.Payload, record.Deadline, record.Declared = w.req.GetPayload(), timestamppb.New(w.deadline), w.req.GetDeclared()
+	return record
+}
+
+func (w *work) ending(out outcome.Outcome) *wire.JournalRecord {
+	switch out := out.(type) {
+	case outcome.Done:
+		record := w.record(wire.RecordKind_RECORD_KIND_DONE)
+		if out.Failed {
+			record.Kind = wire.RecordKind_RECORD_KIND_FAILED
+		}
+		record.Target, record.Reason = out.Target, out.Reason
+		if len(out.Answer) <= journal.MaxAnswerBytes {
+			record.Answer = out.Answer
+		}
+		return record
+	case outcome.NotRun:
+		record := w.record(wire.RecordKind_RECORD_KIND_NOT_RUN)
+		record.Reason = out.Reason
+		return record
+	case outcome.Unknown:
+		record := w.record(wire.RecordKind_RECORD_KIND_UNKNOWN)
+		record.Reason, record.Target = out.Reason, out.Target
+		return record
+	}
+	return nil
+}
+
+// Ended turns the last record of a request into its outcome; nil while it has none.
+func Ended(last *wire.JournalRecord) outcome.Outcome {
+	switch last.GetKind() {
+	case wire.RecordKind_RECORD_KIND_DONE:
+		return outcome.Done{Answer: last.GetAnswer(), Target: last.GetTarget()}
+	case wire.RecordKind_RECORD_KIND_FAILED:
+		return outcome.Done{Failed: true, Reason: last.GetReason(), Target: last.GetTarget()}
+	case wire.RecordKind_RECORD_KIND_UNKNOWN:
+		return outcome.Unknown{Reason: last.GetReason(), Target: last.GetTarget()}
+	case wire.RecordKind_RECORD_KIND_NOT_RUN:
+		return outcome.NotRun{Reason: last.GetReason(), Remedy: "send the request again"}
+	}
+	return nil
+}
+
+// Response turns an outcome into the caller's answer. A nil outcome is pending.
+func Response(ticket string, out outcome.Outcome) *wire.WorkResponse {
+	answer := &wire.WorkResponse{Ticket: ticket, State: wire.WorkState_WORK_STATE_PENDING, Remedy: "poll the ticket on any host"}
+	switch out := out.(type) {
+	case outcome.Done:
+		answer.State, answer.Answer, answer.Target, answer.Remedy = wire.WorkState_WORK_STATE_DONE, out.Answer, out.Target, ""
+		answer.Failed, answer.Reason = out.Failed, out.Reason
+	case outcome.NotRun:
+		answer.State, answer.Reason, answer.Remedy = wire.WorkState_WORK_STATE_NOT_RUN, out.Reason, out.Remedy
+		answer.RetryAfter = durationpb.New(out.RetryAfter)
+	case outcome.Unknown:
+		answer.State, answer.Reason, answer.Target = wire.WorkState_WORK_STATE_UNKNOWN, out.Reason, out.Target
+		answer.Remedy = "it will not run again; check at the target's side before you send new work"
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/host/api.go
@@ -0,0 +1,214 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+const (
+	maxWorkBytes  = 1 << 20
+	maxApplyBytes = 8 << 20
+	applyPath     = "/v1/operator/configuration"
+)
+
+// handler serves hosts through Twirp and callers and operators through iris.
+func (h *Host) handler() http.Handler {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(c iris.Context) { c.WriteString("ok\n") })
+	app.Get("/readyz", h.getReady)
+	app.Get("/metrics", h.getMetrics)
+	app.Post("/v1/tickets", h.postTicket)
+	app.Post("/v1/work", h.postWork)
+	app.Get("/v1/work/{ticket}", h.getWork)
+	app.Delete("/v1/work/{ticket}", h.deleteWork)
+	app.Get("/v1/work/{ticket}/explain", h.getExplanation)
+	operator := app.Party("/v1/operator", h.requireOperator)
+	operator.Get("/hosts", h.getHosts)
+	operator.Get("/targets", h.getTargets)
+	operator.Get("/organisations", h.getOrganisations)
+	operator.Get("/configuration", h.getConfiguration)
+	operator.Get("/configuration/history", h.getHistory)
+	operator.Post("/configuration", h.postConfiguration)
+	if err := app.Build(); err != nil {
+		h.log.Errorf("routes: %v", err)
+	}
+	peers := wire.NewHostServer(&peerService{host: h})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limit := int64(maxWorkBytes)
+		if r.URL.Path == applyPath {
+			limit = maxApplyBytes
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+		if strings.HasPrefix(r.URL.Path, peers.PathPrefix()) {
+			peers.ServeHTTP(w, r)
+			return
+		}
+		app.ServeHTTP(w, r)
+	})
+}
+
+// reply writes a message as JSON with a status.
+func reply(c iris.Context, status int, message proto.Message) {
+	body, err := protojson.Marshal(message)
+	if err != nil {
+		status, body = http.StatusInternalServerError, []byte(`{"kind":"internal"}`)
+	}
+	c.ContentType("application/json")
+	c.StatusCode(status)
+	c.Write(append(body, '\n'))
+}
+
+func replyError(c iris.Context, err error) {
+	reply(c, fault.Status(err), &wire.ErrorBody{Kind: fault.NameOf(err), Message: fault.Message(err), At: timestamppb.Now()})
+}
+
+// decode reads a JSON body. Errors are Invalid.
+func decode(c iris.Context, into proto.Message) error {
+	body, err := io.ReadAll(c.Request().Body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return fault.Invalid.New("send less", "the body is over %d bytes", large.Limit)
+	}
+	if err != nil {
+		return fault.Invalid.New("send the whole body in time", "the body can't be read: %v", err)
+	}
+	if err := protojson.Unmarshal(bytes.TrimSpace(body), into); err != nil {
+		return fault.Invalid.New("see docs/api.md for the fields", "the body is not valid: %v", err)
+	}
+	return nil
+}
+
+// ready does not depend on the store: in an outage this host goes on serving.
+func (h *Host) ready() (bool, string) {
+	switch {
+	case h.stopping.Load():
+		return false, "stopping"
+	case h.configuration.Revision() == 0:
+		return false, "no configuration yet"
+	}
+	return true, "ready"
+}
+
+func (h *Host) getReady(c iris.Context) {
+	ready, text := h.ready()
+	if !ready {
+		c.StatusCode(http.StatusServiceUnavailable)
+	}
+	c.WriteString(text + "\n")
+}
+
+func (h *Host) postTicket(c iris.Context) {
+	reply(c, http.StatusOK, &wire.WorkResponse{Ticket: h.dispatcher.Ticket(), State: wire.WorkState_WORK_STATE_PENDING, Host: h.Settings.GetName()})
+}
+
+func (h *Host) postWork(c iris.Context) {
+	req := &wire.WorkRequest{}
+	if err := decode(c, req); err != nil {
+		replyError(c, err)
+		return
+	}
+	replyWork(c, h.serve(c.Request().Context(), req))
+}
+
+// replyWork maps the three outcomes, and pending, to HTTP statuses.
+func replyWork(c iris.Context, answer *wire.WorkResponse) {
+	status := http.StatusOK
+	switch answer.GetState() {
+	case wire.WorkState_WORK_STATE_PENDING:
+		status = http.StatusAccepted
+	case wire.WorkState_WORK_STATE_UNKNOWN:
+		status = http.StatusBadGateway
+	case wire.WorkState_WORK_STATE_NOT_RUN:
+		status = http.StatusUnprocessableEntity
+		if wait := answer.GetRetryAfter().AsDuration(); wait > 0 {
+			status = http.StatusServiceUnavailable
+			c.Header("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+		}
+	}
+	reply(c, status, answer)
+}
+
+func (h *Host) getWork(c iris.Context) {
+	wait, err := time.ParseDuration(c.URLParamDefault("wait", "0s"))
+	if err != nil {
+		replyError(c, fault.Invalid.New(`write a time such as "5s"`, "wait is not a time"))
+		return
+	}
+	replyWork(c, h.locate(c.Request().Context(), c.Params().Get("ticket"), wait))
+}
+
+func (h *Host) deleteWork(c iris.Context) {
+	answer, err := h.cancel(c.Request().Context(), c.Params().Get("ticket"))
+	if err != nil {
+		replyError(c, err)
+		return
+	}
+	reply(c, http.StatusOK, answer)
+}
+
+func (h *Host) getExplanation(c iris.Context) {
+	ticket := c.Params().Get("ticket")
+	answer := h.locate(c.Request().Context(), ticket, 0)
+	out := &wire.Explanation{Ticket: ticket, State: stateName(answer.GetState())}
+	if job := answer.GetJob(); job != nil {
+		out.State = strings.ToLower(strings.TrimPrefix(job.GetState().String(), "JOB_STATE_"))
+		out.Lines = h.planner.Explain(ticket)
+		if out.Lines == nil {
+			out.Lines = h.explainElsewhere(c.Request().Context(), job)
+		}
+	}
+	if answer.GetReason() != "" {
+		out.Lines = append(out.Lines, answer.GetReason())
+	}
+	if answer.GetTarget() != "" {
+		out.Lines = append(out.Lines, fmt.Sprintf("it ran at %s, %d dispatches", answer.GetTarget(), answer.GetAttempts()))
+	}
+	reply(c, http.StatusOK, out)
+}
+
+// explainElsewhere falls back on the record when another host plans the job's zone.
+func (h *Host) explainElsewhere(_ context.Context, job *wire.JobRecord) []string {
+	return append([]string{fmt.Sprintf("zone %s plans it", job.GetZone())}, job.GetHistory()...)
+}
+
+func stateName(state wire.WorkState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "WORK_STATE_"))
+}
+
+// requireOperator lets in who has the credential; without one set, only this host itself.
+func (h *Host) requireOperator(c iris.Context) {
+	credential := h.Settings.GetOperatorCredential()
+	if credential == "" {
+		remote, err := netip.ParseAddrPort(c.Request().RemoteAddr)
+		if err == nil && remote.Addr().IsLoopback() {
+			c.Next()
+			return
+		}
+	}
+	given := strings.TrimPrefix(c.GetHeader("Authorization"), "Bearer ")
+	if credential != "" && subtle.ConstantTimeCompare([]byte(given), []byte(credential)) == 1 {
+		c.Next()
+		return
+	}
+	replyError(c, fault.Denied.New("send the operator credential as a bearer token, or call from the host itself", "the operator interface is closed to this caller"))
+	c.StopExecution()
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,264 @@
+// Package host assembles an entry host: the callers' and operators' interface,
+// the calls between hosts, and the background loops.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/admission"
+	"github.com/eelgrasstide/eelgrasstide/internal/background"
+	"github.com/eelgrasstide/eelgrasstide/internal/configuration"
+	"github.com/eelgrasstide/eelgrasstide/internal/dispatcher"
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/journal"
+	"github.com/eelgrasstide/eelgrasstide/internal/leadership"
+	"github.com/eelgrasstide/eelgrasstide/internal/membership"
+	"github.com/eelgrasstide/eelgrasstide/internal/peer"
+	"github.com/eelgrasstide/eelgrasstide/internal/planner"
+	"github.com/eelgrasstide/eelgrasstide/internal/retry"
+	"github.com/eelgrasstide/eelgrasstide/internal/router"
+	"github.com/eelgrasstide/eelgrasstide/internal/rules"
+	"github.com/eelgrasstide/eelgrasstide/internal/runner"
+	"github.com/eelgrasstide/eelgrasstide/internal/settings"
+	"github.com/eelgrasstide/eelgrasstide/internal/store"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+const (
+	// RunnerConnections is the number of connections that a runner accepts.
+	RunnerConnections = 60
+	runnerSlots       = 8
+	headerTimeout     = 5 * time.Second
+	bodyTimeout       = 15 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 16 << 10
+	journalGrace      = 3 * time.Second
+	stopCallTimeout   = 2 * time.Second
+)
+
+// Host is one entry host. Set Settings before Run.
+type Host struct {
+	Settings *settings.Settings
+
+	incarnation   string
+	address       netip.AddrPort
+	registry      metrics.Registry
+	store         *store.Store
+	peers         *peer.Peers
+	platform      *http.Client
+	list          wire.HostList
+	configuration *configuration.Configuration
+	membership    *membership.Membership
+	journal       *journal.Journal
+	dispatcher    *dispatcher.Dispatcher
+	leadership    *leadership.Leadership
+	planner       *planner.Planner
+	recovery      *recovery
+	log           *log.Entry
+
+	mu       sync.Mutex
+	runners  map[string]*runner.Runner
+	stopping atomic.Bool
+	polls    chan struct{}
+}
+
+// Run serves until ctx ends, then stops gracefully: unready first, then no new
+// work, then out once everything in flight has ended.
+func (h *Host) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", h.Settings.GetListen())
+	if err != nil {
+		return fault.Invalid.New("set listen to a free address of this host", "Host.Run: %v", err)
+	}
+	h.address = netip.MustParseAddrPort(listener.Addr().String())
+	h.assemble(ctx)
+	if err := h.writeAddress(); err != nil {
+		listener.Close()
+		return err
+	}
+	h.log.Infof("listening on %s as %s", h.address, h.incarnation)
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	ends := background.Start(loops, h.tasks()...)
+	server := &http.Server{
+		Handler: h.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		return fmt.Errorf("Host.Run: %w", err)
+	case end := <-ends:
+		return fmt.Errorf("Host.Run: %s ended: %w", end.Name, end.Err)
+	}
+	h.stop(server)
+	stopLoops()
+	for end := range ends {
+		h.log.Debugf("%s ended: %v", end.Name, end.Err)
+	}
+	h.log.Info("stopped")
+	return nil
+}
+
+func (h *Host) writeAddress() error {
+	file := h.Settings.GetAddressFile()
+	if file == "" {
+		return nil
+	}
+	if err := os.WriteFile(file, []byte(h.address.String()), 0o600); err != nil {
+		return fault.Invalid.New("set addressFile to a writable path", "Host.writeAddress: %v", err)
+	}
+	return nil
+}
+
+// tasks is every background loop of an entry host.
+func (h *Host) tasks() []background.Task {
+	return []background.Task{
+		{Name: "journal", Run: func(ctx context.Context) error { return h.journal.Run(ctx, journalGrace) }},
+		{Name: "dispatcher", Run: h.dispatcher.Run},
+		{Name: "configuration", Run: h.configuration.Run},
+		{Name: "hostLease", Run: h.membership.KeepLease},
+		{Name: "hosts", Run: h.membership.ReadHosts},
+		{Name: "platformList", Run: h.membership.ReadList},
+		{Name: "heartbeats", Run: h.membership.SendHeartbeats},
+		{Name: "leadership", Run: h.leadership.Run},
+		{Name: "planner", Run: h.planner.Run},
+		{Name: "jobs", Run: h.planner.Watch},
+		{Name: "recovery", Run: h.recovery.Run},
+	}
+}
+
+// stop is the planned stop: no request that was accepted is cut off.
+func (h *Host) stop(server *http.Server) {
+	h.log.Info("stopping: not ready")
+	h.stopping.Store(true)
+	leave, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
+	h.membership.Leave(leave)
+	cancel()
+	time.Sleep(h.Settings.GetStopNotice().AsDuration())
+	h.log.Info("stopping: finishing what is in flight")
+	close(h.polls)
+	h.dispatcher.Drain(context.Background())
+	if err := server.Shutdown(context.Background()); err != nil {
+		h.log.Warnf("shutdown: %v", err)
+	}
+	give, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
+	defer cancel()
+	h.leadership.Resign(give)
+	h.membership.Release(give)
+}
+
+func (h *Host) assemble(ctx context.Context) {
+	set := h.Settings
+	h.incarnation = set.GetName() + "~" + strings.ToLower(rand.Text()[:10])
+	h.log = log.WithFields(log.Fields{"part": "host", "host": set.GetName()})
+	h.registry, h.polls, h.runners = metrics.NewRegistry(), make(chan struct{}), map[string]*runner.Runner{}
+	h.peers, h.platform = &peer.Peers{}, &http.Client{}
+	h.store = &store.Store{
+		Backend:        wire.NewStoreProtobufClient("http://"+set.GetStore(), h.platform),
+		ReadsPerSecond: int(set.GetStoreReadsPerSecond()), WritesPerSecond: int(set.GetStoreWritesPerSecond()), Metrics: h.registry,
+	}
+	h.list = wire.NewHostListProtobufClient("http://"+set.GetHostList(), h.platform)
+	h.configuration = &configuration.Configuration{Store: h.store, Changed: h.rulesChanged}
+	h.journal = &journal.Journal{Store: h.store, Incarnation: h.incarnation, Writer: h.incarnation}
+	h.dispatcher = h.newDispatcher()
+	h.dispatcher.Prepare(ctx)
+	h.leadership = &leadership.Leadership{
+		Store: h.store, Zone: set.GetZone(), Incarnation: h.incarnation, Address: h.address.String(), Lease: set.GetHostLease().AsDuration(),
+	}
+	h.planner = &planner.Planner{
+		Zone: set.GetZone(), Store: h.store, Leadership: h.leadership, Rules: h.configuration.Current, Worker: h.worker,
+		Period: set.GetPlannerPeriod().AsDuration(), TaskLease: set.GetTaskLease().AsDuration(),
+	}
+	h.membership = h.newMembership()
+	h.recovery = &recovery{host: h}
+}
+
+func (h *Host) newDispatcher() *dispatcher.Dispatcher {
+	set := h.Settings
+	perRunner := int(set.GetConnectionsPerRunner())
+	return &dispatcher.Dispatcher{
+		Incarnation: h.incarnation, Journal: h.journal, Store: h.store, Rules: h.configuration.Current,
+		Runner: h.runner, Budget: &retry.Budget{}, Capacity: int(set.GetCapacity()), Metrics: h.registry,
+		Queue: &admission.Queue{Limit: int(set.GetQueueLimit())},
+		Router: &router.Router{
+			Self: h.incarnation, HostsPerRunner: max(1, RunnerConnections/perRunner), PerRunner: min(perRunner, runnerSlots),
+			Random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+		},
+		Locate: h.locateOutcome,
+	}
+}
+
+func (h *Host) newMembership() *membership.Membership {
+	set := h.Settings
+	return &membership.Membership{
+		Self:  &wire.HostRecord{Name: set.GetName(), Zone: set.GetZone(), Address: h.address.String(), Incarnation: h.incarnation},
+		Store: h.store, List: h.list, Peers: h.peers, Lease: set.GetHostLease().AsDuration(), Heartbeat: set.GetHeartbeatPeriod().AsDuration(),
+		Revision: h.configuration.Revision, Departures: h.dispatcher.Departures, Departed: h.dispatcher.Left,
+		Behind: h.catchUp, Listed: h.listed,
+	}
+}
+
+// runner returns the client of a runner; one for each name and address.
+func (h *Host) runner(listing router.Listing) dispatcher.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held, ok := h.runners[listing.Name]
+	if !ok || held.Address != listing.Address {
+		held = &runner.Runner{
+			Name: listing.Name, Address: listing.Address, Connections: int(h.Settings.GetConnectionsPerRunner()),
+			Progress: h.Settings.GetProgressDeadline().AsDuration(),
+		}
+		h.runners[listing.Name] = held
+	}
+	return held
+}
+
+func (h *Host) worker(address string) wire.Worker {
+	return wire.NewWorkerProtobufClient("http://"+address, h.platform)
+}
+
+// listed takes a new platform list.
+func (h *Host) listed(found []*wire.Listed) {
+	var runners []router.Listing
+	for _, listed := range found {
+		address, err := netip.ParseAddrPort(listed.GetAddress())
+		if err != nil || listed.GetKind() != wire.ListedKind_LISTED_KIND_RUNNER || listed.GetZone() != h.Settings.GetZone() {
+			continue
+		}
+		runners = append(runners, router.Listing{Name: listed.GetName(), Address: address, Leaving: listed.GetLeaving()})
+	}
+	h.dispatcher.Update(runners, h.membership.ZoneHosts())
+	h.planner.Workers(found)
+}
+
+func (h *Host) rulesChanged(held *rules.Rules) {
+	h.log.Infof("configuration revision %d is in force", held.Revision)
+	h.planner.Wake()
+}
+
+// catchUp takes a higher configuration revision from a peer.
+func (h *Host) catchUp(ctx context.Context, from wire.Host) {
+	answer, err := from.Manifest(ctx, &wire.ManifestRequest{Above: h.configuration.Revision()})
+	if err != nil || answer.GetManifest().GetRevision() <= h.configuration.Revision() {
+		return
+	}
+	if err := h.configuration.Adopt(answer.GetManifest(), answer.GetContents()); err != nil {
+		h.log.Warnf("a peer's configuration was refused: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/host/locate.go
@@ -0,0 +1,181 @@
+package host
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/dispatcher"
+	"github.com/eelgrasstide/eelgrasstide/internal/journal"
+	"github.com/eelgrasstide/eelgrasstide/internal/membership"
+	"github.com/eelgrasstide/eelgrasstide/internal/planner"
+	"github.com/eelgrasstide/eelgrasstide/internal/store"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/pkg/outcome"
+)
+
+const (
+	maxWait       = 25 * time.Second
+	forwardMargin = time.Second
+)
+
+// locate answers for a ticket of any host. It never runs anything.
+func (h *Host) locate(ctx context.Context, ticket string, wait time.Duration) *wire.WorkResponse {
+	wait = min(max(wait, 0), maxWait)
+	if strings.Contains(ticket, ":") {
+		return h.locateJob(ctx, ticket, wait)
+	}
+	if answer, ok := h.findHere(ctx, ticket, wait); ok {
+		return answer
+	}
+	owner := dispatcher.Owner(ticket)
+	if owner == h.incarnation {
+		return dispatcher.Response(ticket, outcome.Unknown{Reason: "the ticket was not used, or its end was forgotten"})
+	}
+	if h.membership.Life(owner) != membership.Dead {
+		return h.ask(ctx, owner, ticket, wait)
+	}
+	return h.locateDead(ctx, owner, ticket, wait)
+}
+
+// findHere waits for a ticket that this host holds. A planned stop hands the wait over.
+func (h *Host) findHere(ctx context.Context, ticket string, wait time.Duration) (*wire.WorkResponse, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-h.polls:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	out, found := h.dispatcher.Find(ctx, ticket, wait)
+	if !found {
+		return nil, false
+	}
+	answer := dispatcher.Response(ticket, out)
+	answer.Host, answer.Attempts = h.Settings.GetName(), int32(h.dispatcher.Attempts(ticket))
+	return answer, true
+}
+
+// ask sends a look-up to the host that holds the ticket.
+func (h *Host) ask(ctx context.Context, holder, ticket string, wait time.Duration) *wire.WorkResponse {
+	address, ok := h.membership.Address(holder)
+	if ok {
+		ctx, cancel := context.WithTimeout(ctx, wait+forwardMargin)
+		defer cancel()
+		answer, err := h.peers.Host(address).Lookup(ctx, &wire.LookupRequest{Ticket: ticket, Wait: durationpb.New(wait)})
+		if err == nil {
+			return answer
+		}
+		h.peers.Retire()
+	}
+	return unreachable(ticket)
+}
+
+func unreachable(ticket string) *wire.WorkResponse {
+	answer := dispatcher.Response(ticket, nil)
+	answer.Reason = "the host that holds it can't be reached now; it will not be run twice"
+	return answer
+}
+
+// locateDead reads the journal of a dead host, whose keeper goes on with it.
+func (h *Host) locateDead(ctx context.Context, owner, ticket string, wait time.Duration) *wire.WorkResponse {
+	requests, keeper, err := journal.Load(ctx, h.store, owner)
+	if err != nil {
+		return unreachable(ticket)
+	}
+	for _, request := range requests {
+		if request.Last.GetId() != ticket {
+			continue
+		}
+		if out := dispatcher.Ended(request.Last); out != nil {
+			return dispatcher.Response(ticket, out)
+		}
+		if keeper.Writer != owner && keeper.Writer != h.incarnation && h.membership.Life(keeper.Writer) == membership.Alive {
+			return h.ask(ctx, keeper.Writer, ticket, wait)
+		}
+		answer := dispatcher.Response(ticket, nil)
+		answer.Reason = "its host died; a survivor is finding out how it ended"
+		return answer
+	}
+	return dispatcher.Response(ticket, outcome.Unknown{Reason: "its host died and left no record of it"})
+}
+
+// locateOutcome returns the end of the first request of a key; nil while it is
+// not known. A keyed request is never dispatched without a durable intent, so one
+// that a taken-over journal does not name did not run.
+func (h *Host) locateOutcome(ctx context.Context, ticket string) outcome.Outcome {
+	if strings.Contains(ticket, ":") {
+		return nil
+	}
+	owner := dispatcher.Owner(ticket)
+	if owner != h.incarnation && h.membership.Life(owner) == membership.Dead {
+		last, err := h.recovery.settle(ctx, owner, ticket)
+		switch {
+		case err != nil:
+			return nil
+		case last == nil:
+			return outcome.NotRun{Reason: "its host died before it was dispatched"}
+		}
+		return dispatcher.Ended(last)
+	}
+	if answer := h.locate(ctx, ticket, 0); answer.GetState() == wire.WorkState_WORK_STATE_NOT_RUN {
+		return outcome.NotRun{Reason: answer.GetReason()}
+	}
+	return nil
+}
+
+// locateJob reads a job's record, waiting for its end up to wait.
+func (h *Host) locateJob(ctx context.Context, id string, wait time.Duration) *wire.WorkResponse {
+	deadline := time.Now().Add(wait)
+	for {
+		found, err := h.store.Get(ctx, store.Serving, planner.JobKey(id))
+		answer := jobResponse(id, found, err)
+		answer.Host = h.Settings.GetName()
+		left := time.Until(deadline)
+		if answer.GetState() != wire.WorkState_WORK_STATE_PENDING || left <= 0 || ctx.Err() != nil || h.stopping.Load() {
+			return answer
+		}
+		_, _ = h.store.Watch(ctx, planner.JobKey(id), found.GetRevision(), min(left, time.Second))
+	}
+}
+
+func jobResponse(id string, found *wire.Entry, err error) *wire.WorkResponse {
+	record := &wire.JobRecord{}
+	switch {
+	case err != nil:
+		answer := dispatcher.Response(id, nil)
+		answer.Reason = "the platform's store can't be read now; running work goes on"
+		return answer
+	case found.GetRevision() == 0:
+		return dispatcher.Response(id, outcome.Unknown{Reason: "there is no record of the job, or its end was forgotten"})
+	case proto.Unmarshal(found.GetValue(), record) != nil:
+		return dispatcher.Response(id, outcome.Unknown{Reason: "the job's record can't be read"})
+	}
+	answer := dispatcher.Response(id, jobOutcome(record))
+	answer.Job = record
+	return answer
+}
+
+func jobOutcome(record *wire.JobRecord) outcome.Outcome {
+	switch record.GetState() {
+	case wire.JobState_JOB_STATE_DONE:
+		return outcome.Done{Reason: record.GetReason()}
+	case wire.JobState_JOB_STATE_FAILED:
+		return outcome.Done{Failed: true, Reason: record.GetReason()}
+	case wire.JobState_JOB_STATE_UNKNOWN:
+		return outcome.Unknown{Reason: record.GetReason()}
+	case wire.JobState_JOB_STATE_REFUSED:
+		return outcome.NotRun{Reason: record.GetReason(), Remedy: "ask for a smaller shape or for another zone"}
+	case wire.JobState_JOB_STATE_CANCELLED:
+		if record.GetAttempt() == 0 {
+			return outcome.NotRun{Reason: record.GetReason(), Remedy: "submit it again if it is still wanted"}
+		}
+		return outcome.Done{Failed: true, Reason: record.GetReason()}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,56 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/settings"
+)
+
+func TestParseReportsEveryMistake(t *testing.T) {
+	text := `name = "Entry 1"
+zone = "vest-1"
+store = "localhost"
+hostList = "127.0.0.1:7401"
+heartbeatPeriod = 5
+capacity = "many"
+colour = "blue"
+`
+	_, err := settings.Parse("host.toml", []byte(text))
+	if !fault.Invalid.Is(err) {
+		t.Fatalf("\nhave: %v\nwant: an error of kind invalid", err)
+	}
+	for _, want := range []string{
+		`host.toml:1: name: "Entry 1" is not a name`,
+		`host.toml:3: store: "localhost" is not an address`,
+		`host.toml:5: heartbeatPeriod: 5 is not a time`,
+		`host.toml:6: capacity: has to be a whole number`,
+		`host.toml:7: colour: unknown key`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("\nhave: %v\nwant: %s", err, want)
+		}
+	}
+}
+
+func TestParseDefaults(t *testing.T) {
+	have, err := settings.Parse("host.toml", []byte("name='a'\nzone='z'\nstore='127.0.0.1:1'\nhostList='127.0.0.1:2'\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := 6 * time.Second; have.GetHostLease().AsDuration() != want {
+		t.Errorf("\nhave: %s\nwant: %s", have.GetHostLease().AsDuration(), want)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name = 'a'\nlisten = 3"))
+	f.Add([]byte("[x]\n[x.y]\nz = [1, {a = 2}]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if have, err := settings.Parse("host.toml", text); err == nil && have.GetName() == "" {
+			t.Errorf("\nhave: no name\nwant: an error for %q", text)
+		}
+	})
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -33,12 +33,12 @@
 	Connections func() (open, peak int)
 	Faults      *faults.Faults
 
-	mu      sync.Mutex
-	busy    int
-	peak    int
-	seen    map[string]*request
-	starts  map[string]int32
-	latest  []byte
+	mu     sync.Mutex
+	busy   int
+	peak   int
+	seen   map[string]*request
+	starts map[string]int32
+	latest []byte
 }
 
 type request struct {
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -167,7 +167,8 @@
 	return out, nil
 }
 
-// Stop implements wire.Worker. It also forgets a task that has ended.
+// Stop implements wire.Worker. A task that has ended is forgotten; one that holds
+// accelerators gives them up and is reported until a second Stop.
 func (w *Worker) Stop(_ context.Context, req *wire.StopRequest) (*wire.WorkerResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -179,13 +180,13 @@
 	if !ok {
 		return refuse(wire.WorkerRefusal_WORKER_REFUSAL_NO_TASK)
 	}
-	if holds(held.GetState()) {
-		if req.GetCheckpoint() {
-			held.State = wire.TaskState_TASK_STATE_CHECKPOINTED
-		} else {
-			held.State = wire.TaskState_TASK_STATE_STOPPED
-		}
+	switch {
+	case !holds(held.GetState()):
+		delete(w.tasks, key)
+	case req.GetCheckpoint():
+		held.State = wire.TaskState_TASK_STATE_CHECKPOINTED
+	default:
+		held.State = wire.TaskState_TASK_STATE_STOPPED
 	}
-	delete(w.tasks, key)
 	return &wire.WorkerResponse{Applied: true, Task: proto.Clone(held.Task).(*wire.Task)}, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -108,6 +108,13 @@
 	})
 }
 
+// Keys is List without the values.
+func (s *Store) Keys(ctx context.Context, purpose Purpose, prefix string) (*wire.ListResponse, error) {
+	return call(ctx, s, purpose, "keys", false, func(ctx context.Context) (*wire.ListResponse, error) {
+		return s.Backend.List(ctx, &wire.ListRequest{Prefix: prefix, KeysOnly: true})
+	})
+}
+
 // Watch waits up to wait for a change under prefix after a revision. It counts as one call.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (*wire.ListResponse, error) {
 	s.prepare()
