--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go run ./test/demo $(BIN)
 
 test:
-	go test -race -count=1 ./...
+	.ci/test
 
 format:
 	cd tools && go run mvdan.cc/gofumpt -w ../cmd ../internal ../pkg ../test
--- a/cmd/eelgrasstide/views.go
+++ b/cmd/eelgrasstide/views.go
@@ -22,7 +22,7 @@
 )
 
 // view registers a subcommand that prints a table.
-func view[T proto.Message](app *kingpin.Application, set *common, name, usage string, held T, print func(*tabwriter.Writer, T)) (string, func(context.Context) error) {
+func view[T proto.Message](app *kingpin.Application, set *common, name, usage string, held T, fill func(*tabwriter.Writer, T)) (string, func(context.Context) error) {
 	cmd := app.Command(name, usage)
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		if err := fetch(ctx, set, "/v1/operator/"+name, held); err != nil {
@@ -32,7 +32,7 @@
 			return printJSON(held)
 		}
 		table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-		print(table, held)
+		fill(table, held)
 		return table.Flush()
 	}
 }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -90,7 +90,7 @@
 	now := time.Now()
 	if withheld {
 		d.Router.Withdraw(listing.Name)
-		d.finish(w, report.Outcome)
+		d.withheld(w, report.Outcome)
 		return
 	}
 	d.Router.Ended(now, listing.Name, w.req.GetClass(), report.Sign, took)
@@ -112,14 +112,44 @@
 			w.attempts--
 		}
 		if w.active == 0 {
-			d.Queue.Requeue(w.item)
+			d.requeue(w)
 		}
 	case resolve:
-		go d.resolve(w, d.Runner(listing), listing.Name)
+		d.tasks.Go(func() { d.resolve(w, d.Runner(listing), listing.Name) })
 	}
 	d.pump()
 }
 
+// withheld ends a request whose intent is not durable. A promised one is a
+// survivor's if the journal was taken over; else it stays queued until its
+// deadline, as its acceptance still stands.
+func (d *Dispatcher) withheld(w *work, out outcome.Outcome) {
+	switch {
+	case w.promised && w.journal.Fenced():
+		d.handOver(w)
+	case w.promised && time.Now().Before(w.deadline):
+		time.AfterFunc(resolvePause, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.requeue(w)
+		})
+	default:
+		d.finish(w, out)
+	}
+}
+
+// requeue queues a request again, ahead of later ones. The lock is held.
+func (d *Dispatcher) requeue(w *work) {
+	if w.finished() || w.concluding {
+		return
+	}
+	if w.item == nil {
+		d.offer(w)
+		return
+	}
+	d.Queue.Requeue(w.item)
+}
+
 // finishUnlessHedged leaves a poor end to the other dispatch while one is active.
 func (d *Dispatcher) finishUnlessHedged(w *work, out outcome.Outcome) {
 	if done, ok := out.(outcome.Done); w.active > 0 && (!ok || done.Failed) {
@@ -137,9 +167,9 @@
 	if w.finished() {
 		return
 	}
-	if _, ok := out.(outcome.NotRun); ok && time.Now().Before(w.deadline) && w.attempts < int(w.class.GetMaxAttempts()) {
+	if _, ok := out.(outcome.NotRun); ok && w.mayRunAgain() {
 		w.tried[name] = true
-		d.Queue.Requeue(w.item)
+		d.requeue(w)
 		d.pump()
 		return
 	}
@@ -158,7 +188,7 @@
 		if _, unknown := out.(outcome.Unknown); !unknown || time.Since(lastHeard) > ResolveWindow || ctx.Err() != nil {
 			return out
 		}
-		time.Sleep(resolvePause)
+		rest(ctx, resolvePause)
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,8 @@
 
 	mu        sync.Mutex
 	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 	works     map[string]*work
 	issued    map[string]time.Time
 	forgotten []string
@@ -75,7 +77,8 @@
 	wake      chan struct{}
 }
 
-// Run pumps the queue until ctx ends. Requests in flight keep their own time.
+// Run pumps the queue until ctx ends, then gives up what is still in flight and
+// waits for it. A planned stop calls Drain first.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.mu.Lock()
 	d.prepare(ctx)
@@ -87,6 +90,8 @@
 	for {
 		select {
 		case <-ctx.Done():
+			d.cancel()
+			d.tasks.Wait()
 			return ctx.Err()
 		case <-tick.C:
 			d.lockedPump()
@@ -109,7 +114,7 @@
 	if d.works != nil {
 		return
 	}
-	d.ctx = context.WithoutCancel(ctx)
+	d.ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	d.works, d.issued = map[string]*work{}, map[string]time.Time{}
 	d.inFlight, d.wake = map[[2]string]int{}, make(chan struct{}, 1)
 	if d.Metrics == nil {
@@ -191,10 +196,7 @@
 	}
 	d.mu.Unlock()
 	if w.class.GetKind() == wire.Kind_trace {
-		if out := d.makeDurable(ctx, w, w.acceptance()); out != nil {
-			d.end(w, out)
-			return w.ticket, out
-		}
+		return w.ticket, d.promise(ctx, w)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -203,6 +205,58 @@
 	return w.ticket, w.out
 }
 
+// promise makes the acceptance durable, so that a survivor would run the request.
+// While it is not known whether the record is, the request is pending.
+func (d *Dispatcher) promise(ctx context.Context, w *work) outcome.Outcome {
+	if w.journal.Stalled() || !d.Store.Writable() {
+		return d.unpromised(w, fault.Unavailable.New("wait for the store", "Dispatcher.promise: writes fail"))
+	}
+	durable := w.journal.Queue(w.acceptance())
+	timer := time.NewTimer(journal.AppendTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-durable:
+		return d.promisedOrNot(w, err)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	d.tasks.Go(func() { d.awaitPromise(w, durable) })
+	return nil
+}
+
+func (d *Dispatcher) awaitPromise(w *work, durable <-chan error) {
+	select {
+	case err := <-durable:
+		d.promisedOrNot(w, err)
+	case <-d.ctx.Done():
+	}
+}
+
+func (d *Dispatcher) promisedOrNot(w *work, err error) outcome.Outcome {
+	if err != nil {
+		return d.unpromised(w, err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w.durable, w.promised = true, true
+	d.offer(w)
+	d.pump()
+	return w.out
+}
+
+// unpromised goes on without the store where the class allows it.
+func (d *Dispatcher) unpromised(w *work, err error) outcome.Outcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if out := d.withoutStore(w, err); out != nil {
+		d.finish(w, out)
+		return w.out
+	}
+	d.offer(w)
+	d.pump()
+	return w.out
+}
+
 // register enters the work, or finds why it may not run. The lock is held.
 func (d *Dispatcher) register(w *work) outcome.Outcome {
 	if w.ticket == "" {
@@ -244,6 +298,13 @@
 		w.durable = true
 		d.mu.Unlock()
 		return nil
+	}
+	return d.withoutStore(w, err)
+}
+
+// withoutStore decides what becomes of a request whose record is not durable.
+func (d *Dispatcher) withoutStore(w *work, err error) outcome.Outcome {
+	switch {
 	case fault.Fenced.Is(err):
 		return outcome.NotRun{Reason: "this host was taken for dead", Remedy: "send the request to another host", RetryAfter: pumpPeriod}
 	case w.class.GetStoreOutage() == wire.StoreOutage_carryOn && w.req.GetKey() == "" && w.journal == d.Journal:
@@ -299,10 +360,10 @@
 
 // launch starts one dispatch and reports whether a runner had room. The lock is held.
 func (d *Dispatcher) launch(now time.Time, w *work) bool {
-	listing, ok := d.Router.Pick(now, w.req.GetClass(), w.tried)
+	listing, ok := d.Router.Pick(now, w.tried)
 	if !ok && len(w.tried) > 0 && !w.hedged {
 		clear(w.tried)
-		listing, ok = d.Router.Pick(now, w.req.GetClass(), nil)
+		listing, ok = d.Router.Pick(now, nil)
 	}
 	if !ok {
 		return false
@@ -312,15 +373,62 @@
 	w.attempts++
 	w.target = listing.Name
 	metrics.GetOrRegisterCounter("dispatches", d.Metrics).Inc(1)
-	go d.attempt(w, listing)
+	d.tasks.Go(func() { d.attempt(w, listing) })
 	return true
 }
 
-// finish ends the work for its caller. The lock is held.
+// finish ends the work for its caller. The lock is held. "Not run" is told only
+// once no survivor would run a promised request.
 func (d *Dispatcher) finish(w *work, out outcome.Outcome) {
-	if w.finished() {
+	if w.finished() || w.concluding {
 		return
 	}
+	if _, ok := out.(outcome.NotRun); ok && w.promised && !w.idempotent() {
+		w.concluding = true
+		d.tasks.Go(func() { d.conclude(w, out) })
+		return
+	}
+	d.finishNow(w, out)
+}
+
+// conclude makes the end durable before it is told. If another host has taken the
+// journal over, the request is that host's.
+func (d *Dispatcher) conclude(w *work, out outcome.Outcome) {
+	for d.ctx.Err() == nil {
+		err := w.journal.Append(d.ctx, w.ending(out))
+		d.mu.Lock()
+		if err == nil || fault.Fenced.Is(err) {
+			defer d.mu.Unlock()
+			w.durable = false
+			if err != nil {
+				d.handOver(w)
+				return
+			}
+			d.finishNow(w, out)
+			return
+		}
+		d.mu.Unlock()
+		rest(d.ctx, resolvePause)
+	}
+}
+
+func rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// handOver leaves a request to the host that has taken the journal over. The
+// lock is held.
+func (d *Dispatcher) handOver(w *work) {
+	d.finishNow(w, outcome.Unknown{Reason: "another host has taken it over", Remedy: "poll the ticket"})
+	delete(d.works, w.ticket)
+}
+
+func (d *Dispatcher) finishNow(w *work, out outcome.Outcome) {
 	w.out, w.ended = out, time.Now()
 	close(w.done)
 	pair := [2]string{w.req.GetOrganisation(), w.req.GetClass()}
@@ -335,12 +443,6 @@
 	d.remember(w.ticket)
 }
 
-func (d *Dispatcher) end(w *work, out outcome.Outcome) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.finish(w, out)
-}
-
 func (d *Dispatcher) measure(w *work) {
 	name := fmt.Sprintf("work.%s.%s", w.req.GetOrganisation(), w.req.GetClass())
 	metrics.GetOrRegisterCounter(name+"."+outcome.Name(w.out), d.Metrics).Inc(1)
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -23,8 +23,7 @@
 )
 
 // submitKeyed ties the caller's key to one ticket in the store, so that a repeat
-// on any host finds the first request. Without the store the request is refused:
-// this host can't know the key's history.
+// on any host finds the first request. Without the store nothing is dispatched.
 func (d *Dispatcher) submitKeyed(ctx context.Context, w *work) (string, outcome.Outcome) {
 	if !d.Store.Writable() {
 		return w.ticket, storeDown()
@@ -76,8 +75,13 @@
 	}
 }
 
+// storeDown ends a try that dispatched nothing. The key may still belong to an
+// earlier try that ran, so "not run" would be more than this host knows.
 func storeDown() outcome.Outcome {
-	return outcome.NotRun{Reason: "the platform's store accepts no writes, and the key's history can't be known", Remedy: "try again later, or send a ticket from POST /v1/tickets in place of a key", RetryAfter: time.Second}
+	return outcome.Unknown{
+		Reason: "the platform's store accepts no writes, and the key's history can't be known; this try dispatched nothing",
+		Remedy: "repeat it with the same key later, which is safe; in an outage, new requests go with a ticket from POST /v1/tickets",
+	}
 }
 
 func keyWrite(ticket string, req *wire.WorkRequest) (*wire.PutRequest, error) {
--- a/internal/dispatcher/lookup.go
+++ b/internal/dispatcher/lookup.go
@@ -129,7 +129,8 @@
 		class = &wire.Class{Kind: class.GetKind(), Urgency: class.GetUrgency(), MaxAttempts: class.GetMaxAttempts(), Idempotent: accepted.GetIdempotent()}
 	}
 	w := &work{
-		ticket: accepted.GetId(), class: class, journal: from, durable: true, weight: 1,
+		ticket: accepted.GetId(), class: class, journal: from, durable: true, adopted: true, weight: 1,
+		promised: accepted.GetKind() == wire.RecordKind_RECORD_KIND_ACCEPTED,
 		req:      &wire.WorkRequest{Organisation: accepted.GetOrganisation(), Class: accepted.GetClass(), Payload: accepted.GetPayload(), Declared: accepted.GetDeclared()},
 		accepted: time.Now(), deadline: accepted.GetDeadline().AsTime(), tried: map[string]bool{}, done: make(chan struct{}),
 	}
@@ -153,7 +154,7 @@
 			return
 		}
 		w.attempts = 1
-		go d.resolve(w, d.Runner(listing), listing.Name)
+		d.tasks.Go(func() { d.resolve(w, d.Runner(listing), listing.Name) })
 		return
 	}
 	d.offer(w)
--- a/internal/dispatcher/work.go
+++ b/internal/dispatcher/work.go
@@ -29,7 +29,13 @@
 	target   string
 	// durable says that a journal record names this request.
 	durable bool
-	hedged  bool
+	// promised says that its acceptance is durable, so that a survivor would run it.
+	promised bool
+	// adopted says that it came from a dead host's journal.
+	adopted bool
+	// concluding says that its end is being made durable.
+	concluding bool
+	hedged     bool
 
 	done  chan struct{}
 	out   outcome.Outcome
@@ -38,6 +44,13 @@
 
 func (w *work) idempotent() bool { return w.class.GetIdempotent() }
 
+// mayRunAgain reports whether a request that its runner never saw may be
+// dispatched again: by the host that it came to, or by a survivor if its
+// acceptance was durable before anybody could be told that it did not run.
+func (w *work) mayRunAgain() bool {
+	return time.Now().Before(w.deadline) && w.attempts < int(w.class.GetMaxAttempts()) && (w.promised || !w.adopted)
+}
+
 func (w *work) finished() bool { return w.out != nil }
 
 func (w *work) record(kind wire.RecordKind) *wire.JournalRecord {
@@ -105,7 +118,9 @@
 		answer.RetryAfter = durationpb.New(out.RetryAfter)
 	case outcome.Unknown:
 		answer.State, answer.Reason, answer.Target = wire.WorkState_WORK_STATE_UNKNOWN, out.Reason, out.Target
-		answer.Remedy = "it will not run again; check at the target's side before you send new work"
+		if answer.Remedy = out.Remedy; out.Remedy == "" {
+			answer.Remedy = "it will not run again; check at the target's side before you send new work"
+		}
 	}
 	return answer
 }
--- a/internal/host/locate.go
+++ b/internal/host/locate.go
@@ -32,6 +32,9 @@
 		return answer
 	}
 	owner := dispatcher.Owner(ticket)
+	if owner == h.incarnation && h.journal.Fenced() {
+		return h.locateDead(ctx, owner, ticket, wait)
+	}
 	if owner == h.incarnation {
 		return dispatcher.Response(ticket, outcome.Unknown{Reason: "the ticket was not used, or its end was forgotten"})
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -245,12 +245,14 @@
 	return nil
 }
 
+// trimmable asks without the lock, as the answer may need the owner's own.
 func (j *Journal) trimmable(before time.Time, forgotten func(id string) bool) []written {
 	j.mu.Lock()
-	defer j.mu.Unlock()
+	old := slices.Clone(j.written)
+	j.mu.Unlock()
 	var out []written
-	for i, held := range j.written {
-		all := i < len(j.written)-1 && held.at.Before(before)
+	for i, held := range old {
+		all := i < len(old)-1 && held.at.Before(before)
 		for _, id := range held.ids {
 			all = all && forgotten(id)
 		}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,107 @@
+package journal_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/journal"
+	"github.com/eelgrasstide/eelgrasstide/internal/standin/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/store"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+func record(id string, kind wire.RecordKind) *wire.JournalRecord {
+	return &wire.JournalRecord{Id: id, Kind: kind}
+}
+
+func start(t *testing.T, held *store.Store, incarnation, writer string) *journal.Journal {
+	t.Helper()
+	j := &journal.Journal{Store: held, Incarnation: incarnation, Writer: writer}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- j.Run(ctx, 0) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return j
+}
+
+// A pass of Trim asks the journal's owner, whose lock may be held by someone who
+// is queueing a record.
+func TestTrimAsksWithoutItsLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := start(t, &store.Store{Backend: &keyvalue.KeyValue{}}, "a", "a")
+		for range 2 {
+			if err := j.Append(t.Context(), record("a.1", wire.RecordKind_RECORD_KIND_DONE)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		done := make(chan error, 1)
+		go func() {
+			done <- j.Trim(t.Context(), time.Now().Add(time.Hour), func(string) bool {
+				j.Queue(record("a.2", wire.RecordKind_RECORD_KIND_DONE))
+				return true
+			})
+		}()
+		synctest.Wait()
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Error(err)
+			}
+		default:
+			t.Error("\nhave: Trim blocks\nwant: its end")
+		}
+	})
+}
+
+func TestAdoptFencesTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		held := &store.Store{Backend: &keyvalue.KeyValue{}}
+		owner := start(t, held, "a", "a")
+		if err := owner.Append(t.Context(), record("a.1", wire.RecordKind_RECORD_KIND_INTENT)); err != nil {
+			t.Fatal(err)
+		}
+		survivor := start(t, held, "a", "b")
+		requests, err := survivor.Adopt(t.Context())
+		if err != nil || len(requests) != 1 || requests[0].Last.GetId() != "a.1" {
+			t.Fatalf("\nhave: %v %v\nwant: the request a.1", requests, err)
+		}
+		if err := owner.Append(t.Context(), record("a.2", wire.RecordKind_RECORD_KIND_INTENT)); !fault.Fenced.Is(err) {
+			t.Errorf("\nhave: %v\nwant: an error of kind fenced", err)
+		}
+		if err := survivor.Append(t.Context(), record("a.1", wire.RecordKind_RECORD_KIND_DONE)); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestAppendSharesCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := start(t, &store.Store{Backend: &slowStore{Store: &keyvalue.KeyValue{}}}, "a", "a")
+		const requests = 100
+		ended := make(chan error, requests)
+		for range requests {
+			go func() { ended <- j.Append(t.Context(), record("a.1", wire.RecordKind_RECORD_KIND_INTENT)) }()
+		}
+		for range requests {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+		if commits, records := j.Counts(); commits > 3 || records != requests {
+			t.Errorf("\nhave: %d commits of %d records\nwant: at most 3 of %d", commits, records, requests)
+		}
+	})
+}
+
+type slowStore struct{ wire.Store }
+
+func (s *slowStore) Put(ctx context.Context, req *wire.PutRequest) (*wire.PutResponse, error) {
+	time.Sleep(5 * time.Millisecond)
+	return s.Store.Put(ctx, req)
+}
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -156,7 +156,7 @@
 }
 
 // each calls every member's worker at once and reports how many agreed.
-func (p *Planner) each(ctx context.Context, j *job, members []*wire.Member, call func(context.Context, wire.Worker, int) (*wire.WorkerResponse, error)) (agreed int, refused []string) {
+func (p *Planner) each(ctx context.Context, members []*wire.Member, call func(context.Context, wire.Worker, int) (*wire.WorkerResponse, error)) (agreed int, refused []string) {
 	type answer struct {
 		worker  string
 		applied bool
@@ -197,7 +197,7 @@
 }
 
 func (p *Planner) start(ctx context.Context, epoch int64, j *job) {
-	p.each(ctx, j, j.Members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
+	p.each(ctx, j.Members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
 		return worker.Start(ctx, p.taskRequest(j, epoch))
 	})
 	p.observeSoon()
@@ -211,7 +211,7 @@
 }
 
 func (p *Planner) stop(ctx context.Context, epoch int64, j *job, checkpoint bool) int {
-	stopped, _ := p.each(ctx, j, j.Members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
+	stopped, _ := p.each(ctx, j.Members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
 		return worker.Stop(ctx, &wire.StopRequest{Epoch: epoch, Job: j.GetId(), Attempt: j.GetAttempt(), Checkpoint: checkpoint})
 	})
 	return stopped
@@ -402,7 +402,7 @@
 
 func (p *Planner) reserve(ctx context.Context, epoch int64, j *job, attempt int32, members []*wire.Member) (int, []string) {
 	left := max(j.GetDeclared().AsDuration()-j.GetProgress().AsDuration(), 0)
-	return p.each(ctx, j, members, func(ctx context.Context, worker wire.Worker, i int) (*wire.WorkerResponse, error) {
+	return p.each(ctx, members, func(ctx context.Context, worker wire.Worker, i int) (*wire.WorkerResponse, error) {
 		return worker.Reserve(ctx, &wire.ReserveRequest{
 			Epoch: epoch, Job: j.GetId(), Attempt: attempt, Member: int32(i), Accelerators: members[i].GetAccelerators(),
 			Ttl: durationpb.New(p.TaskLease), RunTime: durationpb.New(left),
@@ -412,7 +412,7 @@
 }
 
 func (p *Planner) release(ctx context.Context, epoch int64, j *job, attempt int32, members []*wire.Member) {
-	p.each(ctx, j, members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
+	p.each(ctx, members, func(ctx context.Context, worker wire.Worker, _ int) (*wire.WorkerResponse, error) {
 		return worker.Stop(ctx, &wire.StopRequest{Epoch: epoch, Job: j.GetId(), Attempt: attempt})
 	})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -149,7 +149,7 @@
 
 // Pick chooses a runner that may take one more request now and counts it. Names
 // in exclude are passed over.
-func (r *Router) Pick(now time.Time, class string, exclude map[string]bool) (Listing, bool) {
+func (r *Router) Pick(now time.Time, exclude map[string]bool) (Listing, bool) {
 	var open []*target
 	for _, name := range r.order {
 		if held := r.targets[name]; !exclude[name] && r.open(held, now) {
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -13,7 +13,7 @@
 	tests := []struct {
 		name, first, second, want string
 	}{
-		{"unknown key", "[classes.a]\nkind='short'\ncolor=1", "", "10.toml:3: classes.a.color: unknown key"},
+		{"unknown key", "[classes.a]\nkind='short'\ncolour=1", "", "10.toml:3: classes.a.colour: unknown key"},
 		{"wrong unit", "[classes.a]\nkind='short'\ndeadline=2", "", "10.toml:3: classes.a.deadline: 2 is not a time"},
 		{"doubled name", "[organisations.a]\n", "\n[organisations.a]\n", "20.toml:2: organisations.a: is already set by 10.toml:1"},
 		{"dangling name", "[organisations.a]\n[rules.r]\norganisation='a'\nclass='b'", "", "10.toml:4: rules.r.class: \"b\" does not exist"},
--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -37,8 +38,7 @@
 	for {
 		caller, err := b.Listener.Accept()
 		if err != nil {
-			<-ended
-			return err
+			return errors.Join(err, <-ended)
 		}
 		go b.pass(caller)
 	}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -23,10 +23,13 @@
 	RetryAfter time.Duration
 }
 
-// Unknown says that the request may have run. It never runs again.
+// Unknown says that the request may have run. The system does not run it again
+// of its own accord.
 type Unknown struct {
 	Reason string
 	Target string
+	// Remedy is what the caller can do; empty where nothing but a check at the target helps.
+	Remedy string
 }
 
 func (Done) sealed()    {}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -163,7 +163,7 @@
 		}
 		select {
 		case <-p.ended:
-			return nil, fmt.Errorf("%s ended at once: %v; see %s", name, p.err, output.Name())
+			return nil, fmt.Errorf("%s ended at once: %w; see %s", name, p.err, output.Name())
 		case <-time.After(pollPeriod):
 		}
 	}
