--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -292,11 +292,10 @@
 // that the request may not go on.
 func (d *Dispatcher) makeDurable(ctx context.Context, w *work, record *wire.JournalRecord) outcome.Outcome {
 	err := w.journal.Append(ctx, record)
-	switch {
-	case err == nil:
+	if err == nil {
 		d.mu.Lock()
+		defer d.mu.Unlock()
 		w.durable = true
-		d.mu.Unlock()
 		return nil
 	}
 	return d.withoutStore(w, err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -179,7 +179,7 @@
 	h.dispatcher = h.newDispatcher()
 	h.dispatcher.Prepare(ctx)
 	h.leadership = &leadership.Leadership{
-		Store: h.store, Zone: set.GetZone(), Incarnation: h.incarnation, Address: h.address.String(), Lease: set.GetHostLease().AsDuration(),
+		Store: h.store, Zone: set.GetZone(), Incarnation: h.incarnation, Address: h.address.String(), Lease: leadership.DefaultLease,
 	}
 	h.planner = &planner.Planner{
 		Zone: set.GetZone(), Store: h.store, Leadership: h.leadership, Rules: h.configuration.Current, Worker: h.worker,
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -20,7 +20,9 @@
 	Prefix      = "planner/"
 	renewShare  = 3
 	margin      = time.Second
-	competeWait = 2 * time.Second
+	competeWait = time.Second
+	// DefaultLease lets a successor start urgent work within 7.4 s of a planner's death.
+	DefaultLease = 4 * time.Second
 )
 
 // Leadership competes for one zone. Set the fields before Run.
@@ -141,11 +143,14 @@
 	return l.planner
 }
 
-// Fenced gives up an epoch that a worker has refused.
-func (l *Leadership) Fenced() {
+// Fenced gives up an epoch that a worker has refused. A late refusal of an
+// earlier epoch does not touch the present one.
+func (l *Leadership) Fenced(epoch int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lease, l.epoch = 0, 0
+	if l.epoch == epoch {
+		l.lease, l.epoch = 0, 0
+	}
 }
 
 // Resign gives the lease back, so that a successor need not wait for its end.
--- a/internal/placement/home.go
+++ b/internal/placement/home.go
@@ -5,6 +5,8 @@
 	"sort"
 )
 
+const blockedCost = 1_000
+
 // Guarantee is a shape that an organisation can always claim.
 type Guarantee struct {
 	Organisation string
@@ -27,7 +29,7 @@
 
 // AssignHomes gives each guarantee adjacent accelerators that nothing but its
 // owner's work or movable work holds. Homes that are still whole stay where they
-// are; the others move, the largest first. Guarantees without a home are returned.
+// are; the others move, the largest first. Guarantees without a whole home are returned.
 func (g *Grid) AssignHomes(guarantees []Guarantee, before Homes) (Homes, []Shortfall) {
 	g.clearHomes()
 	homes := Homes{}
@@ -51,12 +53,13 @@
 	for _, guarantee := range moving {
 		members := g.findHome(guarantee)
 		if members == nil {
-			short = append(short, Shortfall{Guarantee: guarantee, Reason: fmt.Sprintf(
-				"no %d adjacent workers have %d accelerators each that can be reclaimed", guarantee.Workers, guarantee.PerWorker)})
-			continue
+			members = g.blockedHome(guarantee)
+			short = append(short, Shortfall{Guarantee: guarantee, Reason: g.shortReason(guarantee, members)})
+		}
+		if members != nil {
+			g.mark(guarantee, members)
+			homes[guarantee.Name()] = members
 		}
-		g.mark(guarantee, members)
-		homes[guarantee.Name()] = members
 	}
 	return homes, short
 }
@@ -101,6 +104,35 @@
 	return slot.Home == "" && (slot.Job == "" || slot.Movable || slot.Owner == organisation)
 }
 
+// blockedHome picks the home with the fewest accelerators held by work that can't
+// be moved. As a home it takes in no more of it, so that it becomes whole in time.
+func (g *Grid) blockedHome(guarantee Guarantee) []Member {
+	usable := func(slot Slot) bool { return slot.Home == "" }
+	cost := func(slot Slot) int {
+		if reclaimable(slot, guarantee.Organisation) {
+			return 0
+		}
+		return blockedCost
+	}
+	return g.search(shape{workers: guarantee.Workers, perWorker: guarantee.PerWorker}, usable, cost)
+}
+
+func (g *Grid) shortReason(guarantee Guarantee, members []Member) string {
+	if members == nil {
+		return fmt.Sprintf("no %d adjacent workers are left with %d accelerators each", guarantee.Workers, guarantee.PerWorker)
+	}
+	blocked := 0
+	for _, member := range members {
+		for _, index := range member.Accelerators {
+			slot := g.byName[member.Worker].Slots[index]
+			if slot.Job != "" && !slot.Movable && slot.Owner != guarantee.Organisation {
+				blocked++
+			}
+		}
+	}
+	return fmt.Sprintf("%d accelerators of its home are held by work that can't be moved; the home is kept free of more", blocked)
+}
+
 func (g *Grid) findHome(guarantee Guarantee) []Member {
 	usable := func(slot Slot) bool { return reclaimable(slot, guarantee.Organisation) }
 	cost := func(slot Slot) int {
--- a/internal/planner/job.go
+++ b/internal/planner/job.go
@@ -12,8 +12,10 @@
 
 const (
 	// maxFailures is the number of failed attempts after which the job is at fault.
-	maxFailures   = 3
-	historyLength = 20
+	maxFailures     = 3
+	historyLength   = 20
+	launchRetry     = 500 * time.Millisecond
+	launchRetryLast = 8 * time.Second
 )
 
 // job is one gang job and the revision of its record in the store.
@@ -23,6 +25,9 @@
 	// heldSince is when the planner first saw the job in its present attempt.
 	heldSince time.Time
 	reason    string
+	// notBefore is the time of the next try after a launch that failed; tries counts those.
+	notBefore time.Time
+	tries     int
 	// stopping says that the job's tasks are not to be renewed.
 	stopping bool
 }
@@ -54,6 +59,12 @@
 	j.note(now, "%s", j.Reason)
 }
 
+// postpone spaces the tries of a job whose members could not all be reserved.
+func (j *job) postpone(now time.Time) {
+	j.notBefore = now.Add(min(launchRetry<<min(j.tries, 10), launchRetryLast))
+	j.tries++
+}
+
 func (j *job) placed() []placement.Member {
 	out := make([]placement.Member, 0, len(j.Members))
 	for _, member := range j.Members {
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -180,7 +180,7 @@
 				text = err.Error()
 			}
 			if response.GetRefusal() == wire.WorkerRefusal_WORKER_REFUSAL_STALE_EPOCH {
-				p.Leadership.Fenced()
+				p.Leadership.Fenced(p.epoch)
 			}
 			answers <- answer{worker: m.name, applied: response.GetApplied(), text: text}
 		}()
@@ -225,9 +225,26 @@
 			grid.Occupy(p.holder(j), j.placed())
 		}
 	}
+	p.occupyStrays(grid)
 	return grid
 }
 
+// occupyStrays marks what workers still hold for attempts that are over, until
+// their leases lapse. The lock is held.
+func (p *Planner) occupyStrays(grid *placement.Grid) {
+	for _, m := range p.machines {
+		for _, task := range m.status.GetTasks() {
+			j, ok := p.jobs[task.GetJob()]
+			current := ok && active(j.GetState()) && j.GetAttempt() == task.GetAttempt()
+			if current || !holding(task.GetState()) {
+				continue
+			}
+			stray := &job{JobRecord: &wire.JobRecord{Members: []*wire.Member{{Worker: m.name, Accelerators: task.GetAccelerators()}}}}
+			grid.Occupy(placement.Holder{Job: task.GetJob() + " (ending)", Movable: true}, stray.placed())
+		}
+	}
+}
+
 // guarantees returns the shapes that the rules guarantee in this zone.
 func (p *Planner) guarantees() []placement.Guarantee {
 	var out []placement.Guarantee
@@ -256,6 +273,9 @@
 	p.mu.Unlock()
 	head := true
 	for _, j := range waiting {
+		if now.Before(j.notBefore) {
+			continue
+		}
 		req := p.request(j)
 		req.Head = head
 		if !p.allowed(j) {
@@ -276,8 +296,12 @@
 			continue
 		}
 		if p.launch(ctx, epoch, grid, j, found) {
-			grid.Occupy(p.holder(j), found.Members)
+			j.tries = 0
+		} else {
+			j.postpone(now)
 		}
+		// Even if it did not start, nothing else takes its place in this pass.
+		grid.Occupy(p.holder(j), found.Members)
 	}
 }
 
@@ -438,8 +462,8 @@
 func (p *Planner) suspend(ctx context.Context, epoch int64, j *job, why string) bool {
 	now := time.Now()
 	j.stopping = true
+	p.observeSoon()
 	if p.stop(ctx, epoch, j, true) < len(j.Members) {
-		p.observeSoon()
 		return false
 	}
 	return p.change(ctx, j, func(next *job) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -25,6 +25,8 @@
 	Prefix      = "job/"
 	callTimeout = time.Second
 	saveTimeout = 3 * time.Second
+	// passShare is the largest number of passes in a Period.
+	passShare = 5
 	// renewShare is the number of renewals in a task's lease.
 	renewShare = 3
 	// holdAfter is how long the head of the queue waits before accelerators are held for it.
@@ -78,6 +80,8 @@
 		case <-p.wake:
 		}
 		p.Step(ctx)
+		// A pass writes records that wake the next one; the pause bounds their rate.
+		pause(ctx, p.Period/passShare)
 	}
 }
 
@@ -255,7 +259,7 @@
 	}
 	for range calls {
 		if stale := <-done; stale {
-			p.Leadership.Fenced()
+			p.Leadership.Fenced(epoch)
 		}
 	}
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -167,6 +167,18 @@
 	return out, nil
 }
 
+// Tasks returns what the worker holds now, for checks.
+func (w *Worker) Tasks() []*wire.Task {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(time.Now())
+	var out []*wire.Task
+	for _, held := range w.tasks {
+		out = append(out, proto.Clone(held.Task).(*wire.Task))
+	}
+	return out
+}
+
 // Stop implements wire.Worker. A task that has ended is forgotten; one that holds
 // accelerators gives them up and is reported until a second Stop.
 func (w *Worker) Stop(_ context.Context, req *wire.StopRequest) (*wire.WorkerResponse, error) {
