--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,12 @@
 
 generate:
 	./schema/generate.sh
+
+prove: build
+	go run ./test/prove $(BIN) $(SEED)
+
+measure: build
+	go run ./test/measure all $(BIN) $(SEED)
+
+capacity: build
+	go run ./test/measure capacity $(BIN) $(SEED)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -29,6 +29,8 @@
 	idleTimeout    = 30 * time.Second
 	resolveTimeout = time.Second
 	maxFrameBytes  = 4 << 20
+	// acceptShare divides Progress for the first frame, which a runner sends at once.
+	acceptShare    = 4
 	busyRetryAfter = 50 * time.Millisecond
 )
 
@@ -58,7 +60,8 @@
 	Address netip.AddrPort
 	// Connections bounds the open connections to the runner.
 	Connections int
-	// Progress is the longest silence on a connection that carries a request.
+	// Progress is the longest silence on a connection that carries an accepted
+	// request. The first sign of life has to come within a quarter of it.
 	Progress time.Duration
 
 	mu        sync.Mutex
@@ -104,7 +107,7 @@
 	defer cancel()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }})
-	silence := time.AfterFunc(r.Progress, cancel)
+	silence := time.AfterFunc(r.Progress/acceptShare, cancel)
 	defer silence.Stop()
 	transport := r.current()
 	answer, err := post(ctx, transport, r.Address, body)
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -15,6 +15,8 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
+const silenceDelay = 50 * time.Millisecond
+
 // Faults implements wire.Faults and applies the faults to Twirp calls.
 type Faults struct {
 	// Silence, if set, is called when open connections are to go silent.
@@ -29,7 +31,8 @@
 // Set implements wire.Faults. It replaces every switch and returns the state with the call count.
 func (f *Faults) Set(_ context.Context, settings *wire.FaultSettings) (*wire.FaultSettings, error) {
 	if settings.GetSilence() && f.Silence != nil {
-		f.Silence()
+		// The answer to this very call goes out first.
+		time.AfterFunc(silenceDelay, f.Silence)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,9 +34,11 @@
 	DefaultTimeout = time.Second
 	// MaxValueBytes is the largest value that the store holds.
 	MaxValueBytes = 1 << 20
-	retryFirst    = 20 * time.Millisecond
-	retryLast     = 500 * time.Millisecond
-	remedyDown    = "wait until the platform's store accepts writes again; see docs/operators/store-outage.md"
+	// downFailures is the number of failed writes in a row that mark the store as down.
+	downFailures = 3
+	retryFirst   = 20 * time.Millisecond
+	retryLast    = 500 * time.Millisecond
+	remedyDown   = "wait until the platform's store accepts writes again; see docs/operators/store-outage.md"
 )
 
 // Store is a client of the platform's store. Set the fields before the first call.
@@ -48,12 +50,11 @@
 	Timeout         time.Duration
 	Metrics         metrics.Registry
 
-	once    sync.Once
-	reads   *rate.Limiter
-	writes  *rate.Limiter
-	mu      sync.Mutex
-	downAt  time.Time
-	failing bool
+	once     sync.Once
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	mu       sync.Mutex
+	failures int
 }
 
 // Result is the effect of a write: applied, or the entry that stood in its way.
@@ -82,12 +83,13 @@
 	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
 }
 
-// Writable reports whether the last write succeeded. A store that answers reads
+// Writable reports whether a write succeeded lately: a few failures in a row, and
+// not one lost answer, say that writes do not work. A store that answers reads
 // is not enough (see docs/design/0003-at-most-once.md).
 func (s *Store) Writable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.failing
+	return s.failures < downFailures
 }
 
 // Get reads a key. An absent key has revision 0. Errors are Unavailable.
@@ -254,10 +256,11 @@
 func (s *Store) record(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil && !s.failing {
-		s.downAt = time.Now()
+	if err == nil {
+		s.failures = 0
+		return
 	}
-	s.failing = err != nil
+	s.failures++
 }
 
 func (s *Store) count(purpose Purpose, name string) {
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -24,6 +24,8 @@
 	startTimeout = 10 * time.Second
 	pollPeriod   = 20 * time.Millisecond
 	stopTimeout  = 20 * time.Second
+	// controlTimeout bounds a call to the fault switches.
+	controlTimeout = 5 * time.Second
 )
 
 // Process is one running program.
@@ -209,7 +211,8 @@
 
 // Set switches the process's faults and returns its call count.
 func (p *Process) Set(ctx context.Context, set *wire.FaultSettings) (int64, error) {
-	answer, err := wire.NewFaultsProtobufClient("http://"+p.Address.String(), http.DefaultClient).Set(ctx, set)
+	fresh := &http.Client{Timeout: controlTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := wire.NewFaultsProtobufClient("http://"+p.Address.String(), fresh).Set(ctx, set)
 	return answer.GetCalls(), err
 }
 
--- /dev/null
+++ b/test/prove/main.go
@@ -0,0 +1,231 @@
+// Command prove brings about failures over real processes and prints a line for
+// each promise that it checked.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/pkg/client"
+	"github.com/eelgrasstide/eelgrasstide/pkg/outcome"
+	"github.com/eelgrasstide/eelgrasstide/test/fleet"
+)
+
+const (
+	limit       = 8 * time.Minute
+	proofLimit  = time.Minute
+	settleTime  = 2 * time.Second
+	defaultSeed = 1
+)
+
+// proof is one promise under one fault. It returns what was seen, and an error if the promise was broken.
+type proof struct {
+	promise, fault string
+	run            func(context.Context, *prover) (string, error)
+}
+
+type prover struct {
+	fleet  *fleet.Fleet
+	random *rand.Rand
+	serial int
+	mu     sync.Mutex
+}
+
+func main() {
+	seed := uint64(defaultSeed)
+	if len(os.Args) > 2 {
+		if value, err := strconv.ParseUint(os.Args[2], 10, 64); err == nil {
+			seed = value
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	broken := 0
+	for _, p := range proofs() {
+		start := time.Now()
+		seen, err := prove(ctx, filepath.Clean(os.Args[1]), seed, p)
+		verdict := "held"
+		if err != nil {
+			verdict, seen = "broken", err.Error()
+			broken++
+		}
+		fmt.Printf("promise=%s fault=%s seed=%d verdict=%s time=%s seen=%q\n", p.promise, p.fault, seed, verdict, time.Since(start).Round(100*time.Millisecond), seen)
+	}
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+func prove(ctx context.Context, bin string, seed uint64, p proof) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, proofLimit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "eelgrasstide-prove-")
+	if err != nil {
+		return "", err
+	}
+	defer os.RemoveAll(dir)
+	held := &prover{random: rand.New(rand.NewPCG(seed, 1)), fleet: &fleet.Fleet{
+		Bin: bin, Dir: dir, Zones: map[string]int{"vest-1": 3}, Runners: 3, Workers: 4, WorkersPerRack: 4,
+		Slowness: func(i int) float64 { return float64(1 + i) },
+	}}
+	defer held.fleet.Close()
+	if err := held.fleet.Start(ctx); err != nil {
+		return "", err
+	}
+	if err := held.configure(ctx); err != nil {
+		return "", err
+	}
+	return p.run(ctx, held)
+}
+
+// configure applies the example and waits until requests are served.
+func (p *prover) configure(ctx context.Context) error {
+	files, err := filepath.Glob("docs/examples/slaegtsnavn/*.toml")
+	if err != nil {
+		return err
+	}
+	req := &wire.ApplyRequest{Operator: "prove"}
+	for _, path := range files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		req.Files = append(req.Files, &wire.ConfigurationFileBody{Name: filepath.Base(path), Content: text})
+	}
+	if err := p.apply(ctx, p.host(0), req); err != nil {
+		return err
+	}
+	if err := p.fleet.Ready(ctx); err != nil {
+		return err
+	}
+	for i := range p.fleet.Hosts {
+		for ctx.Err() == nil {
+			answer, err := p.host(i).Submit(ctx, p.lookup())
+			if _, ok := answer.Outcome.(outcome.Done); err == nil && ok {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(settleTime)
+	return ctx.Err()
+}
+
+func (p *prover) host(i int) *client.Client {
+	held := p.fleet.Hosts[i].Client()
+	held.HTTP = &http.Client{Timeout: 40 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	return held
+}
+
+func (p *prover) payload() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serial++
+	return []byte(fmt.Sprintf("surname-%d", p.serial))
+}
+
+func (p *prover) lookup() client.Request {
+	return client.Request{Organisation: "shops", Class: "nameMatch", Payload: p.payload(), Declared: 20 * time.Millisecond}
+}
+
+func (p *prover) trace(key string, length time.Duration) client.Request {
+	return client.Request{Organisation: "shops", Class: "lineageTrace", Key: key, Payload: p.payload(), Declared: length}
+}
+
+// runs counts the starts of a ticket at every runner.
+func (p *prover) runs(ctx context.Context, ticket string) (int, error) {
+	total := 0
+	if ticket == "" {
+		return 0, nil
+	}
+	for _, runner := range p.fleet.Run {
+		status, err := wire.NewRunnerProtobufClient("http://"+runner.Address.String(), p.host(0).HTTP).Status(ctx, &wire.RunnerStatusRequest{})
+		if err != nil {
+			return 0, err
+		}
+		total += int(status.GetStarts()[ticket])
+	}
+	return total, nil
+}
+
+// load sends lookups to the hosts until the context ends, and returns what became of them.
+func (p *prover) load(ctx context.Context, callers int, hosts ...int) func() (tally, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var (
+		sum   tally
+		mu    sync.Mutex
+		group sync.WaitGroup
+	)
+	for i := range callers {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				req := p.lookup()
+				answer, err := p.host(hosts[i%len(hosts)]).Submit(context.WithoutCancel(ctx), req)
+				mu.Lock()
+				sum.take(req, answer, err)
+				mu.Unlock()
+			}
+		})
+	}
+	return func() (tally, error) {
+		cancel()
+		group.Wait()
+		return sum, sum.wrong
+	}
+}
+
+// tally counts what became of requests.
+type tally struct {
+	done, notRun, unknown, pending, cut int
+	slowest                             time.Duration
+	wrong                               error
+}
+
+func (t *tally) take(req client.Request, answer client.Answer, err error) {
+	switch out := answer.Outcome.(type) {
+	case outcome.Done:
+		t.done++
+		t.slowest = max(t.slowest, answer.Took)
+		if string(out.Answer) != "match "+string(req.Payload) && !out.Failed {
+			t.wrong = fmt.Errorf("%s got %q", req.Payload, out.Answer)
+		}
+	case outcome.NotRun:
+		t.notRun++
+	case outcome.Unknown:
+		t.unknown++
+	default:
+		if err != nil {
+			t.cut++
+		} else {
+			t.pending++
+		}
+	}
+}
+
+func (t *tally) String() string {
+	return fmt.Sprintf("done=%d notRun=%d unknown=%d pending=%d cut=%d slowest=%s", t.done, t.notRun, t.unknown, t.pending, t.cut, t.slowest.Round(time.Millisecond))
+}
+
+// end polls a ticket on a host until it has an outcome.
+func (p *prover) end(ctx context.Context, host int, ticket string, timeout time.Duration) (outcome.Outcome, error) {
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) {
+		answer, err := p.host(host).Poll(ctx, ticket, time.Second)
+		if err == nil && answer.Outcome != nil {
+			return answer.Outcome, nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return nil, fmt.Errorf("ticket %s has no end after %s", ticket, timeout)
+}
+
+func (p *prover) signal(i int, signal syscall.Signal) { _ = p.fleet.Hosts[i].Signal(signal) }
