Bench of routing: one look at a queue at a time

Cause: each refused look at a host's queue scheduled one more, so that make measure did not end at high load (stopped after ten minutes). Change: a host has one look pending at the most.

--- a/test/measure/routing.go
+++ b/test/measure/routing.go
@@ -73,6 +73,8 @@
 	router *router.Router
 	queue  *admission.Queue
 	budget *retry.Budget
+	// waiting says that a look at the queue is due.
+	waiting bool
 }
 
 func newBench(seed uint64, policy router.Policy, budget bool, failing int) *bench {
@@ -161,13 +163,25 @@
 		picked, ok := h.router.Pick(b.time(), held.tried)
 		if !ok {
 			h.queue.Requeue(item)
-			b.at(5*time.Millisecond, func() { b.pump(h) })
+			b.pumpLater(h)
 			return
 		}
 		b.dispatch(h, item, held, picked.Name)
 	}
 }
 
+// pumpLater looks again in a while; one look at a time is enough for a host.
+func (b *bench) pumpLater(h *benchHost) {
+	if h.waiting {
+		return
+	}
+	h.waiting = true
+	b.at(5*time.Millisecond, func() {
+		h.waiting = false
+		b.pump(h)
+	})
+}
+
 func (b *bench) dispatch(h *benchHost, item *admission.Item, held *ask, name string) {
 	var index int
 	fmt.Sscanf(name, "r%d", &index)
