--- a/test/measure/capacity.go
+++ b/test/measure/capacity.go
@@ -87,15 +87,17 @@
 	return nil
 }
 
-// traffic is what a process has written to sockets and files, in bytes; each
-// message between hosts counts once, at its sender.
+// traffic is what a process has read and written, in bytes: the kernel's count of
+// all calls, so an upper bound of its control traffic.
 func traffic(id int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", id))
 	if err != nil {
 		return 0
 	}
 	var read, written float64
-	fmt.Sscanf(string(text), "rchar: %g\nwchar: %g", &read, &written)
+	if _, err := fmt.Sscanf(string(text), "rchar: %g\nwchar: %g", &read, &written); err != nil {
+		return 0
+	}
 	return read + written
 }
 
--- a/test/measure/routing.go
+++ b/test/measure/routing.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/admission"
@@ -183,8 +185,10 @@
 }
 
 func (b *bench) dispatch(h *benchHost, item *admission.Item, held *ask, name string) {
-	var index int
-	fmt.Sscanf(name, "r%d", &index)
+	index, err := strconv.Atoi(strings.TrimPrefix(name, "r"))
+	if err != nil {
+		return
+	}
 	held.attempts++
 	if b.busy[index] >= slotsPerRunner {
 		h.router.Ended(b.time(), name, "c", runner.Busy, 0)
