Admission: half of the caller's time for the queue, half for the runner

Change: an item is dispatched within half of its time or refused with a retry-after; a further try may use the whole. Ended idempotent short requests are remembered in a ring of 1,000. Ruled out: retries (1.00 runs for each request at every load).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,9 @@
 	Value any
 
 	order int
+	// latest is when the item has to be dispatched, so that a slow runner still
+	// answers in time: half of the caller's time for the queue, half for the runner.
+	latest time.Time
 }
 
 // Queue holds the waiting requests of one host. Set Limit before use; it is not
@@ -84,7 +87,8 @@
 // furthest over its share, which is returned.
 func (q *Queue) Offer(now time.Time, item *Item, slots int) (evicted *Item, refused *outcome.NotRun) {
 	held := q.share(item)
-	if wait := q.wait(held, item, slots); now.Add(wait + item.Service).After(item.Deadline) {
+	item.latest = now.Add(item.Deadline.Sub(now) / 2)
+	if wait := q.wait(held, item, slots); now.Add(wait).After(item.latest) || now.Add(wait+item.Service).After(item.Deadline) {
 		return nil, &outcome.NotRun{
 			Reason: "the queue is longer than the caller's deadline", Remedy: "try again later or allow more time",
 			RetryAfter: min(max(wait/2, minimumRetryAfter), maximumRetryAfter),
@@ -181,7 +185,7 @@
 		}
 		next := heap.Pop(&held.items).(*Item)
 		q.length--
-		if now.Add(next.Service).After(next.Deadline) {
+		if now.After(next.latest) || now.Add(next.Service).After(next.Deadline) {
 			expired = append(expired, next)
 			continue
 		}
@@ -209,8 +213,12 @@
 	return s.name < other.name
 }
 
-// Requeue puts back an item that was not dispatched, ahead of later ones.
-func (q *Queue) Requeue(item *Item) {
+// Requeue puts back an item that was not dispatched, or is to be tried again, ahead
+// of later ones. A try that follows a failed one may use the time until the deadline.
+func (q *Queue) Requeue(item *Item, again bool) {
+	if again {
+		item.latest = item.Deadline
+	}
 	heap.Push(&q.share(item).items, item)
 	q.length++
 }
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -147,7 +147,7 @@
 		d.offer(w)
 		return
 	}
-	d.Queue.Requeue(w.item)
+	d.Queue.Requeue(w.item, true)
 }
 
 // finishUnlessHedged leaves a poor end to the other dispatch while one is active.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 	// ticketLife is how long a ticket from POST /v1/tickets may wait for its request.
 	ticketLife      = 10 * time.Minute
 	maxRemembered   = 20_000
+	maxBrief        = 1_000
 	idempotentGrace = time.Second
 	trimPeriod      = time.Minute
 	// TicketSeparator stands between the incarnation and the sequence of a ticket.
@@ -69,6 +70,7 @@
 	works     map[string]*work
 	issued    map[string]time.Time
 	forgotten []string
+	brief     []string
 	sequence  int64
 	inFlight  map[[2]string]int
 	flying    int
@@ -351,7 +353,7 @@
 			return
 		}
 		if !d.launch(now, item.Value.(*work)) {
-			d.Queue.Requeue(item)
+			d.Queue.Requeue(item, false)
 			return
 		}
 	}
@@ -439,7 +441,7 @@
 		w.journal.Queue(w.ending(out))
 	}
 	d.measure(w)
-	d.remember(w.ticket)
+	d.remember(w)
 }
 
 func (d *Dispatcher) measure(w *work) {
@@ -454,8 +456,17 @@
 }
 
 // remember keeps ended work for look-ups, bounded in number.
-func (d *Dispatcher) remember(ticket string) {
-	d.forgotten = append(d.forgotten, ticket)
+func (d *Dispatcher) remember(w *work) {
+	if w.idempotent() && w.class.GetKind() == wire.Kind_short {
+		// Nothing depends on its ticket: a repeat may run again.
+		d.brief = append(d.brief, w.ticket)
+		for len(d.brief) > maxBrief {
+			delete(d.works, d.brief[0])
+			d.brief = d.brief[1:]
+		}
+		return
+	}
+	d.forgotten = append(d.forgotten, w.ticket)
 	for len(d.forgotten) > maxRemembered {
 		delete(d.works, d.forgotten[0])
 		d.forgotten = d.forgotten[1:]
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -115,5 +115,5 @@
 	w.out, w.ended = outcome.NotRun{Reason: "the platform's store was down", Remedy: "send the request again"}, time.Now()
 	close(w.done)
 	d.works[w.ticket] = w
-	d.remember(w.ticket)
+	d.remember(w)
 }
--- a/test/measure/routing.go
+++ b/test/measure/routing.go
@@ -164,7 +164,7 @@
 		held := item.Value.(*ask)
 		picked, ok := h.router.Pick(b.time(), held.tried)
 		if !ok {
-			h.queue.Requeue(item)
+			h.queue.Requeue(item, false)
 			b.pumpLater(h)
 			return
 		}
@@ -192,7 +192,7 @@
 	held.attempts++
 	if b.busy[index] >= slotsPerRunner {
 		h.router.Ended(b.time(), name, "c", runner.Busy, 0)
-		h.queue.Requeue(item)
+		h.queue.Requeue(item, false)
 		return
 	}
 	b.busy[index]++
@@ -219,7 +219,7 @@
 		b.done = append(b.done, float64((b.now-held.arrived).Microseconds())/1000)
 	case failed && held.attempts < 4 && (!b.budget || h.budget.Spend()):
 		held.tried[name] = true
-		h.queue.Requeue(item)
+		h.queue.Requeue(item, true)
 	case failed:
 		b.failed++
 	default:
