--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -1,6 +1,7 @@
 package leadership_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,22 +29,33 @@
 }
 
 func TestHolderStopsBeforeItsLeaseLapses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		held := &keyvalue.KeyValue{}
-		first := &leadership.Leadership{Store: &store.Store{Backend: held}, Zone: "z", Incarnation: "a", Lease: leadership.DefaultLease}
-		second := &leadership.Leadership{Store: &store.Store{Backend: held}, Zone: "z", Incarnation: "b", Lease: leadership.DefaultLease}
+	for _, renewals := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d renewals", renewals), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { holderStops(t, renewals) })
+		})
+	}
+}
+
+// holderStops lets the first planner go silent after some renewals.
+func holderStops(t *testing.T, renewals int) {
+	held := &keyvalue.KeyValue{}
+	first := &leadership.Leadership{Store: &store.Store{Backend: held}, Zone: "z", Incarnation: "a", Lease: leadership.DefaultLease}
+	second := &leadership.Leadership{Store: &store.Store{Backend: held}, Zone: "z", Incarnation: "b", Lease: leadership.DefaultLease}
+	first.Step(t.Context())
+	for range renewals {
+		time.Sleep(time.Second)
 		first.Step(t.Context())
-		for range 100 {
-			time.Sleep(100 * time.Millisecond)
-			second.Step(t.Context())
-			_, one := first.Epoch()
-			_, two := second.Epoch()
-			if one && two {
-				t.Fatal("\nhave: two planners may order\nwant: at most one")
-			}
+	}
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		second.Step(t.Context())
+		_, one := first.Epoch()
+		_, two := second.Epoch()
+		if one && two {
+			t.Fatal("\nhave: two planners may order\nwant: at most one")
 		}
-		if _, may := second.Epoch(); !may {
-			t.Error("\nhave: no planner\nwant: the second, after the first one's lease")
-		}
-	})
+	}
+	if _, may := second.Epoch(); !may {
+		t.Error("\nhave: no planner\nwant: the second, after the first one's lease")
+	}
 }
