Batch queues on the platform: first path

Cause: the users run eelgrasstide on their platform; the product had no model of jobs with steps, and spoke only to its own stand-ins. Change: platform/ translates; workload, scheduler, coordinator, term, ledger, intake and entry hold decisions, state and recovery.

--- a/cmd/eelgrasstide/main.go
+++ b/cmd/eelgrasstide/main.go
@@ -59,7 +59,7 @@
 
 func commands() []command {
 	return []command{
-		serveCommand, checkCommand, applyCommand, configShowCommand, configDiffCommand, configHistoryCommand, configWaitCommand,
+		serveCommand, frontCommand, checkCommand, applyCommand, configShowCommand, configDiffCommand, configHistoryCommand, configWaitCommand,
 		submitCommand, statusCommand, cancelCommand, explainCommand, hostsCommand, targetsCommand, organisationsCommand, versionCommand,
 	}
 }
--- /dev/null
+++ b/internal/coordinator/commit.go
@@ -0,0 +1,160 @@
+package coordinator
+
+import (
+	"context"
+	"crypto/rand"
+	"maps"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/ledger"
+	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
+	"github.com/eelgrasstide/eelgrasstide/internal/term"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+const (
+	// maxCommitJobs leaves room for the conditions and the sequence in one transaction.
+	maxCommitJobs = keyvalue.MaxTxnEntries - 4
+	// maxCommitBytes keeps one transaction well below what the store takes.
+	maxCommitBytes = 512 << 10
+	pendingPeriod  = 500 * time.Millisecond
+)
+
+// batch is what one commit makes durable, and what may happen after it.
+type batch struct {
+	writes map[string]*wire.ProgressRecord
+	starts []scheduler.Start
+	// seen is, by target, the last end whose effect the writes hold.
+	seen    map[string]int64
+	pending map[string]int32
+}
+
+func newBatch() batch {
+	return batch{writes: map[string]*wire.ProgressRecord{}, seen: map[string]int64{}}
+}
+
+// queue adds a plan to the next commit. The lock is held.
+func (s *session) queue(plan scheduler.Plan) {
+	for _, write := range plan.Writes {
+		s.queued.writes[write.Job] = write.Record
+	}
+	s.queued.starts = append(s.queued.starts, plan.Starts...)
+	for _, id := range s.plan.Targets() {
+		if seen := s.plan.Attention(id).Seen; seen > s.agent(id).acknowledged {
+			s.queued.seen[id] = seen
+		}
+	}
+	if len(s.queued.writes) > 0 || len(s.queued.seen) > 0 {
+		select {
+		case s.commit <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// commitAll makes queued writes durable, one commit at a time.
+func (s *session) commitAll(ctx context.Context) error {
+	published := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.commit:
+		case <-time.After(pendingPeriod):
+		}
+		s.mu.Lock()
+		held := s.queued
+		s.queued = newBatch()
+		if pending := s.plan.Pending(); time.Since(published) >= pendingPeriod && !maps.Equal(pending, s.pending) {
+			held.pending, s.pending, published = pending, pending, time.Now()
+		}
+		s.mu.Unlock()
+		if err := s.makeDurable(ctx, held); err != nil {
+			return err
+		}
+		s.release(held)
+	}
+}
+
+// release does what had to wait for the commit.
+func (s *session) release(held batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, seen := range held.seen {
+		s.agent(id).acknowledge(seen)
+	}
+	for _, start := range held.starts {
+		s.agent(start.Target).start(start)
+	}
+}
+
+// makeDurable writes a batch in as many transactions as it takes.
+func (s *session) makeDurable(ctx context.Context, held batch) error {
+	puts := []keyvalue.Put{}
+	if held.pending != nil {
+		value, err := ledger.Write(&wire.PendingRecord{Queues: held.pending})
+		if err != nil {
+			return err
+		}
+		puts = append(puts, keyvalue.Put{Key: ledger.PendingKey, Value: value})
+	}
+	for id, record := range held.writes {
+		value, err := ledger.Write(record)
+		if err != nil {
+			return err
+		}
+		puts = append(puts, keyvalue.Put{Key: ledger.Progress(id), Value: value})
+	}
+	for len(puts) > 0 {
+		count, bytes := 0, 0
+		for count < len(puts) && count < maxCommitJobs && (count == 0 || bytes+len(puts[count].Value) < maxCommitBytes) {
+			bytes += len(puts[count].Value)
+			count++
+		}
+		if err := s.transact(ctx, puts[:count], nil); err != nil {
+			return err
+		}
+		puts = puts[count:]
+	}
+	return nil
+}
+
+// transact makes one transaction of the term, and repeats it until it is known to be
+// applied. The sequence's value is unique, so that a lost answer can be told from
+// another's write, and a copy that is carried out late fails its condition.
+func (s *session) transact(ctx context.Context, puts []keyvalue.Put, deletes []string) error {
+	token := []byte(rand.Text())
+	txn := keyvalue.Txn{
+		Expect:  []keyvalue.Expectation{{Key: term.RecordKey, Revision: s.tenure.Revision}, {Key: ledger.SequenceKey, Revision: s.sequence.Revision}},
+		Puts:    append([]keyvalue.Put{{Key: ledger.SequenceKey, Value: token}}, puts...),
+		Deletes: deletes,
+	}
+	begun := time.Now()
+	for {
+		result, err := s.Store.Commit(ctx, txn)
+		switch {
+		case err == nil && result.Applied:
+			s.sequence.Revision = result.Revision
+			metrics.GetOrRegisterHistogram("coordinator.commitMs", s.Metrics, metrics.NewUniformSample(sampleSize)).Update(time.Since(begun).Milliseconds())
+			return nil
+		case err == nil:
+			for _, item := range result.Current {
+				if item.Key == ledger.SequenceKey && string(item.Value) == string(token) {
+					s.sequence.Revision = item.Revision
+					return nil
+				}
+			}
+			return errDeposed
+		case fault.Invalid.Is(err):
+			return err
+		}
+		s.Log.WithError(err).WithField("contact", s.tenure.Contact()).Warn("coordinator: a commit was not answered")
+		if !pause(ctx, retryPause) {
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/coordinator"
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
+)
+
+const (
+	// maxTaskLease bounds how long the tasks of a target that is lost keep others waiting.
+	maxTaskLease = 6 * time.Second
+	// weakProcessor is the share of a core below which a host lets others plan.
+	weakProcessor = 0.4
+	// weakDelay is how much later a weak host competes.
+	weakDelay = 500 * time.Millisecond
+)
+
+// Settings is what a host of batch queues is told at its start.
+type Settings struct {
+	Name string
+	Zone string
+	// Processor is the host's share of a core.
+	Processor float64
+	MemoryMB  int64
+	// MaxTaskLease is the longest lease that targets grant.
+	MaxTaskLease time.Duration
+	// StopTimeout is how long a target may take to stop a run.
+	StopTimeout time.Duration
+	// Reclaim is how soon a guaranteed job starts.
+	Reclaim time.Duration
+	// StopGrace is the time from the signal to stop to the kill.
+	StopGrace time.Duration
+	// Retention is how long ended jobs are known.
+	Retention time.Duration
+	// RemoteFactor is how much longer tasks run away from their data.
+	RemoteFactor float64
+	// CheckpointPeriod is the work between two checkpoints.
+	CheckpointPeriod time.Duration
+}
+
+// Validate reports the first mistake.
+func (s *Settings) Validate() error {
+	if s.MaxTaskLease < time.Second || s.StopGrace <= 0 || s.Retention <= 0 {
+		return fault.Invalid.New("correct the settings file", "Settings.Validate: task lease %s (1 s at least), stop grace %s, retention %s", s.MaxTaskLease, s.StopGrace, s.Retention)
+	}
+	return nil
+}
+
+func (s *Settings) limits() scheduler.Limits {
+	return scheduler.Limits{
+		TaskLease: min(s.MaxTaskLease, maxTaskLease), RenewalHorizon: coordinator.RenewalHorizon, Reclaim: s.Reclaim,
+		StopTimeout: s.StopTimeout, RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
+		CheckpointPeriod: s.CheckpointPeriod,
+	}
+}
+
+func (s *Settings) delay() time.Duration {
+	if s.Processor > 0 && s.Processor < weakProcessor {
+		return weakDelay
+	}
+	return 0
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -33,6 +33,8 @@
 	Fenced = newKind("fenced", http.StatusConflict)
 	// NotFound marks a name that nothing answers to.
 	NotFound = newKind("notFound", http.StatusNotFound)
+	// Gone marks a name that is known to be answered no longer.
+	Gone = newKind("gone", http.StatusGone)
 	// Denied marks a caller without the credential.
 	Denied = newKind("denied", http.StatusForbidden)
 )
--- /dev/null
+++ b/internal/scheduler/node.go
@@ -0,0 +1,380 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
+)
+
+const (
+	// slowestClock is how fast a target's clock surely runs: it may be 2% slow.
+	slowestClock = 0.98
+	// maxListedEnds is how many ends a target lists at a time.
+	maxListedEnds = 500
+	// silentAfter is how long after the last answer a target is given no new work.
+	silentAfter = 2500 * time.Millisecond
+	// refusalPause keeps new work from a target that refused some.
+	refusalPause = 300 * time.Millisecond
+	// blamePause keeps new work from a target after a run failed there; it doubles with each failure in a row.
+	blamePause    = time.Second
+	maxBlamePause = 8 * time.Second
+	// retryPause is how long a unit waits after a run that did not end well.
+	retryPause = 50 * time.Millisecond
+)
+
+// node is a target with what is known of it.
+type node struct {
+	target.Listing
+	listed bool
+	// contacted says that this planner has had a report since the node was met or restarted.
+	contacted bool
+	met       time.Time
+	// clock was read on the target no later than clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// granted is the latest end of a lease on the target's clock that it may have been given.
+	granted time.Duration
+	heard   time.Time
+	// seen is the last end that was processed.
+	seen    int64
+	used    workload.Resources
+	members map[target.Run]*member
+	blocked time.Time
+	// failures counts runs in a row that failed here.
+	failures int
+	speed    float64
+}
+
+// node returns a target by ID. One that is not listed may still be running tasks.
+func (s *Scheduler) node(now time.Time, id string) *node {
+	n := s.nodes[id]
+	if n == nil {
+		n = &node{Listing: target.Listing{ID: id}, met: now, members: map[target.Run]*member{}, speed: 1}
+		s.nodes[id] = n
+	}
+	return n
+}
+
+// Listed takes what a target says of itself.
+func (s *Scheduler) Listed(now time.Time, listing target.Listing) {
+	s.prepare()
+	n := s.node(now, listing.ID)
+	if n.listed && listing.Born < n.Born {
+		return
+	}
+	if n.Born != 0 && listing.Born > n.Born {
+		s.reborn(now, n, listing.Born)
+	}
+	if !n.listed || n.Draining != listing.Draining {
+		s.log("target listed", Fields{"target": listing.ID, "draining": listing.Draining, "left": listing.DrainingLeft, "zone": listing.Zone, "rack": listing.Rack})
+	}
+	n.Listing, n.listed = listing, true
+	if listing.Clock > n.clockLow(now) {
+		n.clock, n.clockAt = listing.Clock, now
+	}
+}
+
+// Unlisted takes the news that a target's entry is gone. It may still be running.
+func (s *Scheduler) Unlisted(now time.Time, id string) {
+	s.prepare()
+	if n := s.nodes[id]; n != nil && n.listed {
+		n.listed = false
+		s.log("target unlisted", Fields{"target": id, "runs": len(n.members), "heard": now.Sub(n.heard)})
+	}
+}
+
+// reborn notes that a target has restarted: nothing of its former life runs. A start
+// that was not answered may yet reach the new life, so it is closed by a stop.
+func (s *Scheduler) reborn(now time.Time, n *node, born int64) {
+	s.log("target restarted", Fields{"target": n.ID, "born": born, "runs": len(n.members)})
+	n.Born, n.clock, n.clockAt, n.granted, n.seen, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
+	for _, m := range n.sorted() {
+		if m.doubtful && m.state != present {
+			s.stop(now, m.unit, "the target restarted with a start unanswered")
+			continue
+		}
+		s.lose(now, m, "the target restarted")
+	}
+}
+
+// clockLow is a time that the target's clock has surely reached.
+func (n *node) clockLow(now time.Time) time.Duration {
+	if n.clockAt.IsZero() {
+		return 0
+	}
+	return n.clock + time.Duration(float64(now.Sub(n.clockAt))*slowestClock)
+}
+
+// Deadline returns the end, on the target's clock, of a lease that is given now, and
+// notes that the target may have it. It is 0 while the clock is not known.
+func (s *Scheduler) Deadline(now time.Time, id string) time.Duration {
+	n := s.nodes[id]
+	if n == nil || n.clockAt.IsZero() {
+		return 0
+	}
+	deadline := n.clock + now.Sub(n.clockAt) + s.Limits.TaskLease
+	n.granted = max(n.granted, deadline)
+	return deadline
+}
+
+// lapsed reports whether every lease on the target has surely ended.
+func (s *Scheduler) lapsed(now time.Time, n *node) bool {
+	if !n.contacted {
+		// What a former planner granted is not known, and it may have gone on for a while.
+		wait := s.Limits.RenewalHorizon + time.Duration(float64(s.Limits.TaskLease)/slowestClock)
+		return now.Sub(n.met) > wait
+	}
+	return n.clockLow(now) > n.granted
+}
+
+// expire closes the runs on targets whose leases have surely ended and drops targets that are gone.
+func (s *Scheduler) expire(now time.Time) {
+	for id, n := range s.nodes {
+		if len(n.members) > 0 && s.lapsed(now, n) {
+			for _, m := range n.sorted() {
+				if m.state != intended {
+					s.lose(now, m, "its lease has ended without an answer from the target")
+				}
+			}
+		}
+		if !n.listed && len(n.members) == 0 {
+			delete(s.nodes, id)
+		}
+	}
+}
+
+// lose closes a run that was lost with its target.
+func (s *Scheduler) lose(now time.Time, m *member, reason string) {
+	s.log("run lost", Fields{"job": m.unit.step.job.ID, "run": m.run(), "target": m.node.ID, "reason": reason, "heard": now.Sub(m.node.heard)})
+	s.close(now, m, reason)
+}
+
+func (n *node) sorted() []*member {
+	out := make([]*member, 0, len(n.members))
+	for _, m := range n.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *member) int { return compareRuns(a.run(), b.run()) })
+	return out
+}
+
+// Reported takes a target's report. sent is when the report was asked for.
+func (s *Scheduler) Reported(now time.Time, id string, sent time.Time, report target.Report) {
+	n := s.nodes[id]
+	if n == nil {
+		return
+	}
+	if report.Born != 0 && n.Born != 0 && report.Born != n.Born {
+		if report.Born < n.Born {
+			return
+		}
+		s.reborn(now, n, report.Born)
+	}
+	n.contacted, n.heard, n.clock, n.clockAt = true, now, report.Clock, now
+	for _, end := range report.Ended {
+		if end.Number > n.seen {
+			n.seen = end.Number
+			s.ended(now, n, end)
+		}
+	}
+	listed := make(map[target.Run]bool, len(report.Running))
+	for _, running := range report.Running {
+		listed[running.Run] = true
+		s.running(now, n, running)
+	}
+	if len(report.Ended) >= maxListedEnds {
+		return
+	}
+	for _, m := range n.sorted() {
+		if listed[m.run()] {
+			continue
+		}
+		resolved := m.state == inherited || (m.state == present && m.confirmed.Before(sent)) || (!m.stopped.IsZero() && m.stopped.Before(sent))
+		if resolved {
+			s.lose(now, m, "the target does not list it")
+		}
+	}
+}
+
+func (s *Scheduler) running(now time.Time, n *node, running target.Running) {
+	m := n.members[running.Run]
+	if m == nil || m.state == intended {
+		s.stops = append(s.stops, Stop{Run: running.Run, Target: n.ID})
+		s.log("unknown run stopped", Fields{"run": running.Run, "target": n.ID})
+		return
+	}
+	if m.state != present {
+		m.state, m.confirmed = present, now
+		if m.unit.begun.IsZero() {
+			m.unit.begun = now
+		}
+	}
+	u := m.unit
+	if running.Checkpoint != "" {
+		u.checkpoint = running.Checkpoint
+	}
+	u.percent = running.Percent
+}
+
+// ended processes the end of a run.
+func (s *Scheduler) ended(now time.Time, n *node, end target.Ended) {
+	m := n.members[end.Run]
+	if m == nil {
+		s.log("end ignored", Fields{"run": end.Run, "target": n.ID, "how": end.How.String(), "number": end.Number})
+		return
+	}
+	u := m.unit
+	if end.Checkpoint != "" {
+		u.checkpoint = end.Checkpoint
+	}
+	s.log("run ended", Fields{"job": u.step.job.ID, "run": end.Run, "target": n.ID, "how": end.How.String(), "number": end.Number, "ran": now.Sub(u.begun)})
+	switch end.How {
+	case target.Done:
+		n.failures = 0
+		s.learn(now, n, u)
+		s.finish(now, u)
+		return
+	case target.Failed:
+		s.blame(now, n, u)
+	}
+	s.close(now, m, "it ended "+end.How.String())
+	u.notBefore = now.Add(retryPause)
+}
+
+// finish notes that a unit is done: one member's end stands for the whole gang.
+func (s *Scheduler) finish(now time.Time, u *unit) {
+	s.dirty[u.step.job.ID] = u.step.job
+	if u.step.shape.LongRunning {
+		for _, m := range append([]*member(nil), u.members...) {
+			s.close(now, m, "it ended")
+		}
+		return
+	}
+	if !u.done {
+		u.done = true
+		u.step.left--
+	}
+	for _, m := range append([]*member(nil), u.members...) {
+		s.close(now, m, "it is done")
+	}
+}
+
+// blame counts a failure against the unit, once a run, and against its target.
+func (s *Scheduler) blame(now time.Time, n *node, u *unit) {
+	u.avoid = n.ID
+	n.failures++
+	n.block(now.Add(min(blamePause<<min(n.failures-1, 4), maxBlamePause)))
+	if u.failed || u.step.shape.LongRunning {
+		return
+	}
+	u.failed = true
+	u.failures++
+	j := u.step.job
+	if j.queue.MaxAttempts > 0 && u.failures >= j.queue.MaxAttempts && !ended(j.phase) {
+		s.end(now, j, failedPhase, "a task has failed in all its attempts")
+	}
+}
+
+func (n *node) block(until time.Time) {
+	if until.After(n.blocked) {
+		n.blocked = until
+	}
+}
+
+// Started takes the answer to a start.
+func (s *Scheduler) Started(now time.Time, start Start, reply target.Reply) {
+	m := s.member(start.Target, start.Run)
+	if m == nil {
+		return
+	}
+	switch reply.Answer {
+	case target.Accepted:
+		m.node.heard = now
+		if m.state != present {
+			m.state, m.confirmed = present, now
+			m.unit.begun = now
+		}
+	case target.Unanswered:
+		m.doubtful = true
+	default:
+		s.refused(now, m, reply.Answer)
+	}
+}
+
+// refused handles a start that the target has not carried out.
+func (s *Scheduler) refused(now time.Time, m *member, answer target.Answer) {
+	s.log("start refused", Fields{"job": m.unit.step.job.ID, "run": m.run(), "target": m.node.ID, "answer": answer.String(), "doubtful": m.doubtful, "used": m.node.used})
+	m.node.block(now.Add(refusalPause))
+	m.unit.notBefore = now.Add(retryPause)
+	if m.doubtful {
+		// An earlier copy of the order may have been or may yet be carried out.
+		s.stop(now, m.unit, "its start was refused after one without an answer")
+		return
+	}
+	s.close(now, m, "its start was refused: "+answer.String())
+}
+
+// Stopped takes the answer to a stop.
+func (s *Scheduler) Stopped(now time.Time, stop Stop, reply target.Reply) {
+	m := s.member(stop.Target, stop.Run)
+	if m != nil && reply.Answer == target.Accepted {
+		m.stopped, m.node.heard = now, now
+	}
+}
+
+// Sent notes that a start goes out. It reports whether it is still wanted.
+func (s *Scheduler) Sent(start Start) bool {
+	m := s.member(start.Target, start.Run)
+	if m == nil || !m.stopping.IsZero() || m.state == present {
+		return false
+	}
+	m.state = ordered
+	return true
+}
+
+// Wanted reports whether a stop still waits for its acknowledgement.
+func (s *Scheduler) Wanted(stop Stop) bool {
+	m := s.member(stop.Target, stop.Run)
+	return m != nil && m.stopped.IsZero()
+}
+
+func (s *Scheduler) member(id string, run target.Run) *member {
+	if n := s.nodes[id]; n != nil {
+		return n.members[run]
+	}
+	return nil
+}
+
+// Attention is what a planner owes to a target.
+type Attention struct {
+	Listing target.Listing
+	// Runs says that runs may be alive there, whose leases have to be renewed.
+	Runs bool
+	// Unknown says that the target has not reported to this planner yet.
+	Unknown bool
+	// Gone says that the target is neither listed nor running anything.
+	Gone bool
+	// Seen is the last end that was processed.
+	Seen int64
+}
+
+// Attention returns what a target needs.
+func (s *Scheduler) Attention(id string) Attention {
+	n := s.nodes[id]
+	if n == nil {
+		return Attention{Gone: true}
+	}
+	return Attention{Listing: n.Listing, Runs: len(n.members) > 0, Unknown: !n.contacted, Seen: n.seen, Gone: !n.listed && len(n.members) == 0}
+}
+
+// Targets lists the IDs of the targets that are known.
+func (s *Scheduler) Targets() []string {
+	out := make([]string, 0, len(s.nodes))
+	for id := range s.nodes {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/scheduler/reserve.go
@@ -0,0 +1,245 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
+)
+
+// reserve keeps room for a candidate that found none: by stopping less valuable runs
+// where it may, and otherwise on the targets where room comes free soonest.
+func (p *pass) reserve(c *candidate, u *unit) {
+	if c.step.job.queue.Priority == 0 && p.preempt(c) {
+		return
+	}
+	if p.kept >= maxReservations {
+		return
+	}
+	count := 1
+	if c.step.shape.Gang {
+		count = c.step.shape.Count
+	}
+	sets := [][]*room{p.rooms}
+	if c.step.shape.Gang && c.step.shape.SameRack && p.rackCanHold(c, count) {
+		sets = sets[:0]
+		for _, name := range p.rackNames() {
+			sets = append(sets, p.racks[name])
+		}
+	}
+	var best []*room
+	var soonest time.Time
+	for _, rooms := range sets {
+		chosen, at := p.soonest(c, rooms, count)
+		if chosen != nil && (best == nil || at.Before(soonest)) {
+			best, soonest = chosen, at
+		}
+	}
+	for _, r := range best {
+		r.reserved = c.step
+	}
+	if best != nil {
+		p.kept++
+	}
+	_ = u
+}
+
+// soonest finds the targets on which count members have room first, and when.
+func (p *pass) soonest(c *candidate, rooms []*room, count int) ([]*room, time.Time) {
+	type option struct {
+		r     *room
+		at    time.Time
+		times int
+	}
+	var options []option
+	for _, r := range rooms {
+		if r.reserved != nil || r.Service != c.step.job.queue.Service || !r.labelled(c.step.shape.RequiredLabel) {
+			continue
+		}
+		at, ok := p.roomAt(c.step.shape, r)
+		if ok {
+			options = append(options, option{r, at, 1})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
+	if len(options) < count {
+		return nil, time.Time{}
+	}
+	var chosen []*room
+	for _, o := range options[:count] {
+		chosen = append(chosen, o.r)
+	}
+	return chosen, options[count-1].at
+}
+
+// roomAt is when a target is expected to have room for one task.
+func (p *pass) roomAt(shape *workload.Step, r *room) (time.Time, bool) {
+	free := r.free
+	if shape.Counted().Fits(free) {
+		return p.now, true
+	}
+	members := r.sorted()
+	slices.SortStableFunc(members, func(a, b *member) int { return p.s.expectedEnd(p.now, a).Compare(p.s.expectedEnd(p.now, b)) })
+	for _, m := range members {
+		free = free.Plus(m.unit.step.shape.Counted())
+		if shape.Counted().Fits(free) {
+			return p.s.expectedEnd(p.now, m), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// expectedEnd is when a run is expected to end.
+func (s *Scheduler) expectedEnd(now time.Time, m *member) time.Time {
+	begun := m.unit.begun
+	if begun.IsZero() {
+		begun = now
+	}
+	end := begun.Add(time.Duration(float64(s.duration(m.unit.step)) / m.node.speed))
+	if end.Before(now) {
+		return now
+	}
+	return end
+}
+
+// victim is a run that could be stopped to make room.
+type victim struct {
+	unit *unit
+	// loss is the work that would be thrown away, in node-seconds.
+	loss float64
+}
+
+// preempt stops less important runs so that a candidate of the first priority fits.
+// It reports whether room is kept for the candidate.
+func (p *pass) preempt(c *candidate) bool {
+	count := 1
+	if c.step.shape.Gang {
+		count = c.step.shape.Count
+	}
+	sets := [][]*room{p.rooms}
+	if c.step.shape.Gang && c.step.shape.SameRack && p.rackCanHold(c, count) {
+		sets = sets[:0]
+		for _, name := range p.rackNames() {
+			sets = append(sets, p.racks[name])
+		}
+	}
+	var best *clearing
+	for _, rooms := range sets {
+		if found := p.clear(c, rooms, count); found != nil && (best == nil || found.loss < best.loss) {
+			best = found
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, r := range best.rooms {
+		r.reserved = c.step
+	}
+	for _, v := range best.victims {
+		p.s.stop(p.now, v, "preempted for job "+c.step.job.ID)
+	}
+	return true
+}
+
+// clearing is a set of targets and the runs to stop on them.
+type clearing struct {
+	rooms   []*room
+	victims []*unit
+	loss    float64
+}
+
+// clear finds the cheapest runs to stop in some rooms so that count members fit.
+func (p *pass) clear(c *candidate, rooms []*room, count int) *clearing {
+	type option struct {
+		r       *room
+		victims []victim
+		loss    float64
+		times   int
+	}
+	var options []option
+	for _, r := range rooms {
+		if (r.reserved != nil && r.reserved != c.step) || r.Service != c.step.job.queue.Service || !r.labelled(c.step.shape.RequiredLabel) {
+			continue
+		}
+		free := r.free
+		o := option{r: r}
+		limit := count
+		if c.step.shape.MaxPerTarget > 0 {
+			limit = min(limit, c.step.shape.MaxPerTarget-r.count(c.step))
+		}
+		// Room that is being made already costs nothing more.
+		for _, m := range r.members {
+			if !m.stopping.IsZero() {
+				free = free.Plus(m.unit.step.shape.Counted())
+			}
+		}
+		o.times = c.step.shape.Counted().Times(free, limit)
+		if o.times == 0 {
+			for _, v := range p.victims(c, r) {
+				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
+				for _, m := range v.unit.members {
+					if m.node == r.node {
+						free = free.Plus(v.unit.step.shape.Counted())
+					}
+				}
+				if o.times = c.step.shape.Counted().Times(free, limit); o.times > 0 {
+					break
+				}
+			}
+		}
+		if o.times > 0 {
+			options = append(options, o)
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.loss/float64(a.times), b.loss/float64(b.times)) })
+	found := &clearing{}
+	left := count
+	taken := map[*unit]bool{}
+	for _, o := range options {
+		if left <= 0 {
+			break
+		}
+		left -= o.times
+		found.rooms = append(found.rooms, o.r)
+		for _, v := range o.victims {
+			if !taken[v.unit] {
+				taken[v.unit] = true
+				found.victims, found.loss = append(found.victims, v.unit), found.loss+v.loss
+			}
+		}
+	}
+	if left > 0 {
+		return nil
+	}
+	return found
+}
+
+// victims lists the runs on a target that may be stopped for the candidate, cheapest first.
+func (p *pass) victims(c *candidate, r *room) []victim {
+	var out []victim
+	seen := map[*unit]bool{}
+	for _, m := range r.sorted() {
+		u := m.unit
+		if seen[u] || !m.stopping.IsZero() || m.state == intended || u.step.job.queue.Priority <= c.step.job.queue.Priority {
+			continue
+		}
+		seen[u] = true
+		out = append(out, victim{unit: u, loss: p.s.unsaved(p.now, u)})
+	}
+	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	return out
+}
+
+// unsaved is the work of a run that a stop throws away, in node-seconds.
+func (s *Scheduler) unsaved(now time.Time, u *unit) float64 {
+	if u.begun.IsZero() {
+		return 0
+	}
+	ran := now.Sub(u.begun)
+	if u.step.shape.Checkpointing {
+		// A stop makes a checkpoint; what is lost is the restart.
+		ran = min(ran, s.Limits.CheckpointPeriod)
+	}
+	return ran.Seconds() * s.share(u.step.shape) * float64(len(u.members))
+}
