--- a/internal/coordinator/news.go
+++ b/internal/coordinator/news.go
@@ -69,22 +69,27 @@
 	for _, item := range targets {
 		s.takeTarget(item)
 	}
-	for _, item := range jobs {
-		s.takeJob(item, progress)
-	}
+	s.takeJobs(jobs, progress)
 	return nil
 }
 
-// takeJob takes a submission or cancellation. The lock is held.
-func (s *session) takeJob(item keyvalue.Item, progress map[string]*wire.ProgressRecord) {
-	id, cancelled, ok := ledger.Parse(item.Key)
-	if !ok || item.Deleted {
-		return
+// takeJobs takes submissions and then cancellations, as a list in the order of the
+// keys names a job's cancellation before its submission. The lock is held.
+func (s *session) takeJobs(items []keyvalue.Item, progress map[string]*wire.ProgressRecord) {
+	for _, item := range items {
+		if id, cancelled, ok := ledger.Parse(item.Key); ok && !cancelled && !item.Deleted {
+			s.takeJob(id, item, progress)
+		}
 	}
-	if cancelled {
-		s.plan.Cancel(time.Now(), id)
-		return
+	for _, item := range items {
+		if id, cancelled, ok := ledger.Parse(item.Key); ok && cancelled && !item.Deleted {
+			s.plan.Cancel(time.Now(), id)
+		}
 	}
+}
+
+// takeJob takes a submission. The lock is held.
+func (s *session) takeJob(id string, item keyvalue.Item, progress map[string]*wire.ProgressRecord) {
 	if s.plan.Known(id) {
 		return
 	}
@@ -132,9 +137,7 @@
 			continue
 		}
 		s.mu.Lock()
-		for _, item := range items {
-			s.takeJob(item, nil)
-		}
+		s.takeJobs(items, nil)
 		s.mu.Unlock()
 		s.signal()
 	}
