--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -24,12 +24,14 @@
 	// RenewalHorizon is how long a planner goes on without the store's word that its term lasts.
 	RenewalHorizon = 8 * time.Second
 	// stepPause spaces the scheduler's steps, so that news is taken in batches.
-	stepPause    = 15 * time.Millisecond
-	idleStep     = time.Second
-	retryPause   = 150 * time.Millisecond
-	watchWait    = time.Second
-	expirePeriod = 5 * time.Second
-	sampleSize   = 256
+	stepPause  = 15 * time.Millisecond
+	idleStep   = time.Second
+	retryPause = 150 * time.Millisecond
+	watchWait  = time.Second
+	// heartbeatPause gathers the targets' heartbeats, so that a watch brings many.
+	heartbeatPause = 250 * time.Millisecond
+	expirePeriod   = 5 * time.Second
+	sampleSize     = 256
 )
 
 var (
@@ -68,7 +70,7 @@
 	// context ends with the term; agents, which come and go, run under it.
 	context context.Context
 	cancel  context.CancelCauseFunc
-	group  sync.WaitGroup
+	group   sync.WaitGroup
 	// queued are the writes and starts that wait for the next commit.
 	queued  batch
 	commit  chan struct{}
--- a/internal/coordinator/news.go
+++ b/internal/coordinator/news.go
@@ -168,6 +168,7 @@
 		}
 		s.mu.Unlock()
 		s.signal()
+		pause(ctx, heartbeatPause)
 	}
 	return ctx.Err()
 }
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -215,7 +215,7 @@
 	if running.Checkpoint != "" {
 		u.checkpoint = running.Checkpoint
 	}
-	u.percent = running.Percent
+	s.observe(now, m, running)
 }
 
 // ended processes the end of a run.
@@ -233,7 +233,7 @@
 	switch end.How {
 	case target.Done:
 		n.failures = 0
-		s.learn(now, n, u)
+		s.learn(u)
 		s.finish(now, u)
 		return
 	case target.Failed:
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -13,8 +13,6 @@
 const failedPhase = wire.JobPhase_JOB_PHASE_FAILED
 
 const (
-	// learnWeight is the weight of a new observation.
-	learnWeight = 0.2
 	// lateShare is the part of its worth that a job earns after its objective.
 	lateShare = 0.25
 	// lateFactor times the objective, a job earns nothing any more.
@@ -48,28 +46,6 @@
 	return e
 }
 
-// learn updates the queue's ratio and the target's speed from a run that was done.
-func (s *Scheduler) learn(now time.Time, n *node, u *unit) {
-	ran := now.Sub(u.begun)
-	if u.begun.IsZero() || ran <= 0 || u.run > 1 || u.step.shape.Gang {
-		return
-	}
-	e := s.estimateOf(u.step.job.Queue)
-	nominal := float64(u.step.shape.Nominal())
-	observed := float64(ran) / nominal
-	if dataRack := u.step.shape.DataRack; dataRack != "" && dataRack != n.Rack && s.Limits.RemoteFactor > 0 {
-		observed /= s.Limits.RemoteFactor
-	}
-	speed := e.ratio / observed
-	n.speed += learnWeight * (min(max(speed, 0.2), 3) - n.speed)
-	e.ratio += learnWeight * learnWeight * (observed*n.speed - e.ratio)
-}
-
-// duration is how long a unit is expected to run at speed 1 near its data.
-func (s *Scheduler) duration(st *step) time.Duration {
-	return time.Duration(float64(st.shape.Nominal()) * s.estimateOf(st.job.Queue).ratio)
-}
-
 // assess works out a job's objective and work from its estimates.
 func (s *Scheduler) assess(j *job) {
 	j.objective = time.Duration(j.queue.StretchFactor*float64(chain(j.Steps))) + j.queue.RuntimeObjective
@@ -114,6 +90,10 @@
 	// guaranteed says that its organisation's guarantee covers the job.
 	guaranteed bool
 	score      float64
+	// worth is the credit that the job can still earn.
+	worth float64
+	// slack is how many seconds a task of the step may take for the job to be on time.
+	slack float64
 }
 
 // candidates lists the steps with units to start, the most valuable first.
@@ -214,12 +194,9 @@
 		remaining += part * float64(other.shape.Count) * s.duration(other).Seconds() * s.share(other.shape)
 		chainLeft += s.duration(other)
 	}
-	relative := 1.0
-	if mean := s.estimateOf(j.Queue).work; mean > 0 {
-		relative = min(j.work/mean, maxRelativeWork)
-	}
-	worth := priorityWorth[min(max(j.queue.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
+	worth := s.worth(j)
 	finish := now.Add(chainLeft).Sub(st.occurrence.due)
+	c.slack = (j.objective - finish + s.duration(st)).Seconds()
 	switch {
 	case finish <= j.objective:
 	case finish <= lateFactor*j.objective:
@@ -227,9 +204,19 @@
 	default:
 		worth *= hopelessShare
 	}
+	c.worth = worth
 	return worth / max(remaining, 0.01)
 }
 
+// worth is the credit that a job earns on time.
+func (s *Scheduler) worth(j *job) float64 {
+	relative := 1.0
+	if mean := s.estimateOf(j.Queue).work; mean > 0 {
+		relative = min(j.work/mean, maxRelativeWork)
+	}
+	return priorityWorth[min(max(j.queue.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
+}
+
 func compareRuns(a, b target.Run) int {
 	return cmp.Or(
 		cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence), cmp.Compare(a.Task.Step, b.Task.Step),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,6 +14,12 @@
 	spreadPenalty = 0.5
 	// maxReservations is how many steps that find no room may keep some for themselves.
 	maxReservations = 4
+	// busyShare of a service in use, a gang waits for a whole rack instead of running spread.
+	busyShare = 0.5
+	// latePenalty keeps tasks from targets that are too slow for their job's objective.
+	latePenalty = 4
+	// fastShare is what a fast target costs a task that does not need it.
+	fastShare = 0.3
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
 	avoidPenalty = 3
 	// longRunPause spaces the passes in which nothing but time has changed.
@@ -102,7 +108,7 @@
 		}
 		if chosen == nil {
 			p.failed[key] = true
-			p.reserve(c, u)
+			p.reserve(c)
 			break
 		}
 		p.start(c, u, chosen)
@@ -150,19 +156,26 @@
 	return r.perStep[st]
 }
 
-// cost is the expected duration of a task in a room, with a penalty for the room it breaks up.
+// cost compares rooms for a task: a room where the job would be late is worse than any
+// other, and a job with time to spare leaves the fast targets to others. Room that the
+// task would break up counts against it.
 func (p *pass) cost(c *candidate, u *unit, r *room) float64 {
 	shape := c.step.shape
-	seconds := p.s.duration(c.step).Seconds() / r.speed
+	work := p.s.duration(c.step).Seconds()
 	if shape.DataRack != "" && shape.DataRack != r.Rack {
-		seconds *= max(p.s.Limits.RemoteFactor, 1)
+		work *= max(p.s.Limits.RemoteFactor, 1)
+	}
+	seconds := work / r.speed
+	cost := work * (1 + fastShare*r.speed)
+	if seconds > c.slack {
+		cost = latePenalty * seconds
 	}
 	if u != nil && u.avoid == r.ID {
-		seconds *= avoidPenalty
+		cost *= avoidPenalty
 	}
 	left := r.free.Minus(shape.Counted())
 	open := (share(left.MilliCores, r.Capacity.MilliCores) + share(left.MemoryMB, r.Capacity.MemoryMB) + share(left.Accelerators, r.Capacity.Accelerators)) / 3
-	return seconds * (1 + spreadPenalty*open)
+	return cost * (1 + spreadPenalty*open)
 }
 
 func share(part, whole int64) float64 {
@@ -197,13 +210,25 @@
 			best, lowest = chosen, cost
 		}
 	}
-	if best != nil || (c.step.shape.SameRack && p.rackCanHold(c, count)) {
+	if best != nil || (c.step.shape.SameRack && p.rackCanHold(c, count) && p.busy(c)) {
 		return best
 	}
 	chosen, _ := p.fill(c, p.rooms, count)
 	return chosen
 }
 
+// busy reports whether so much of a service is in use that a gang spread over racks,
+// which runs for longer, would take room from others.
+func (p *pass) busy(c *candidate) bool {
+	var used, whole workload.Resources
+	for _, r := range p.rooms {
+		if r.Service == c.step.job.queue.Service {
+			used, whole = used.Plus(r.Capacity.Minus(r.free)), whole.Plus(r.Capacity)
+		}
+	}
+	return used.Share(whole) > busyShare
+}
+
 func (p *pass) rackNames() []string {
 	names := make([]string, 0, len(p.racks))
 	for name := range p.racks {
@@ -278,7 +303,7 @@
 func (p *pass) start(c *candidate, u *unit, chosen []*room) {
 	j := c.step.job
 	u.run++
-	u.failed, u.percent, u.begun = false, 0, time.Time{}
+	u.failed, u.progress, u.begun = false, progress{}, time.Time{}
 	for i, r := range chosen {
 		m := &member{unit: u, index: u.index + i, node: r.node, state: intended}
 		u.members = append(u.members, m)
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -8,9 +8,18 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
+const (
+	// acceleratorCores is how many cores an accelerator counts as in work thrown away.
+	acceleratorCores = 8
+	// wasteCredit is the credit that a core-second of work thrown away costs.
+	wasteCredit = 0.0012
+	// maxLossShare of a job's worth may be lost to others when room is made for it.
+	maxLossShare = 0.5
+)
+
 // reserve keeps room for a candidate that found none: by stopping less valuable runs
 // where it may, and otherwise on the targets where room comes free soonest.
-func (p *pass) reserve(c *candidate, u *unit) {
+func (p *pass) reserve(c *candidate) {
 	if c.step.job.queue.Priority == 0 && p.preempt(c) {
 		return
 	}
@@ -42,7 +51,6 @@
 	if best != nil {
 		p.kept++
 	}
-	_ = u
 }
 
 // soonest finds the targets on which count members have room first, and when.
@@ -92,21 +100,16 @@
 
 // expectedEnd is when a run is expected to end.
 func (s *Scheduler) expectedEnd(now time.Time, m *member) time.Time {
-	begun := m.unit.begun
-	if begun.IsZero() {
-		begun = now
-	}
-	end := begun.Add(time.Duration(float64(s.duration(m.unit.step)) / m.node.speed))
-	if end.Before(now) {
+	if !m.stopping.IsZero() {
 		return now
 	}
-	return end
+	return now.Add(s.left(now, m.unit))
 }
 
 // victim is a run that could be stopped to make room.
 type victim struct {
 	unit *unit
-	// loss is the work that would be thrown away, in node-seconds.
+	// loss is the credit that a stop costs.
 	loss float64
 }
 
@@ -130,7 +133,7 @@
 			best = found
 		}
 	}
-	if best == nil {
+	if best == nil || (!c.guaranteed && best.loss > c.worth*maxLossShare) {
 		return false
 	}
 	for _, r := range best.rooms {
@@ -225,21 +228,24 @@
 			continue
 		}
 		seen[u] = true
-		out = append(out, victim{unit: u, loss: p.s.unsaved(p.now, u)})
+		out = append(out, victim{unit: u, loss: p.s.loss(p.now, u)})
 	}
 	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
 	return out
 }
 
-// unsaved is the work of a run that a stop throws away, in node-seconds.
-func (s *Scheduler) unsaved(now time.Time, u *unit) float64 {
-	if u.begun.IsZero() {
-		return 0
-	}
-	ran := now.Sub(u.begun)
+// loss is what a stop of a unit costs, in credit: the work that is thrown away, and the
+// part of the job's worth that it stood for.
+func (s *Scheduler) loss(now time.Time, u *unit) float64 {
+	ran := sinceBegun(now, u)
 	if u.step.shape.Checkpointing {
 		// A stop makes a checkpoint; what is lost is the restart.
 		ran = min(ran, s.Limits.CheckpointPeriod)
 	}
-	return ran.Seconds() * s.share(u.step.shape) * float64(len(u.members))
+	shape := u.step.shape
+	cores := float64(shape.Needs.MilliCores)/1000 + acceleratorCores*float64(shape.Needs.Accelerators)
+	members := float64(len(u.members))
+	j := u.step.job
+	part := ran.Seconds() * s.share(shape) * members / max(j.work, 0.01)
+	return wasteCredit*cores*members*ran.Seconds() + s.worth(j)*part
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,6 +104,9 @@
 	shape      *workload.Step
 	units      []*unit
 	left       int
+	// ratio of real to estimated work; 0 before the first observation.
+	ratio        float64
+	observations int
 }
 
 // unit is what is started at once: one task, or all tasks of a gang.
@@ -117,9 +120,11 @@
 	// members are the tasks of the current run that may be alive.
 	members []*member
 	// failed says that the current run's failure has been counted.
-	failed  bool
-	begun   time.Time
-	percent int
+	failed   bool
+	begun    time.Time
+	progress progress
+	// moves counts how often the unit was moved for lack of progress.
+	moves int
 	// avoid is the target on which the unit failed last.
 	avoid     string
 	notBefore time.Time
@@ -304,6 +309,7 @@
 	s.wake = time.Time{}
 	s.expire(now)
 	s.advance(now)
+	s.rescue(now)
 	if s.catalogue != nil {
 		s.place(now)
 	}
