--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -18,8 +18,9 @@
 	slowest, fastest   = 0.1, 3.0
 	stalledAfter       = 1200 * time.Millisecond
 	moveOverhead       = time.Second
-	moveFactor         = 1.5
+	moveFactor         = 3.0
 	maxMoves           = 2
+	nearlyDone         = 90
 	minRatio, maxRatio = 0.2, 5.0
 )
 
@@ -146,7 +147,7 @@
 	for _, n := range s.nodes {
 		for _, m := range n.sorted() {
 			u := m.unit
-			if m.state != present || !m.stopping.IsZero() || m != u.members[0] || u.moves >= maxMoves || u.step.shape.LongRunning || u.progress.at.IsZero() {
+			if m.state != present || !m.stopping.IsZero() || m != u.members[0] || u.moves >= maxMoves || u.step.shape.LongRunning || u.progress.at.IsZero() || u.progress.percent >= nearlyDone {
 				continue
 			}
 			here, there := s.left(now, u), s.elsewhere(u)
