Speeds of targets fitted to all recent observations

Cause: speeds learned one run at a time drifted upwards (0.6/1.0/1.6 read as 0.7 to 2.9). Change: a fit of the targets' speeds and the steps' work, with geometric mean 1.

--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -9,13 +10,10 @@
 const (
 	// observeEvery is the shortest time over which progress is measured; percent is whole.
 	observeEvery = 700 * time.Millisecond
-	// speedWeight is the weight of a new observation of a target's speed.
-	speedWeight = 0.3
 	// ratioWeight is the weight of one step in its queue's ratio of real to estimated work.
 	ratioWeight = 0.1
-	// maxObservations bounds the weight of a step's earlier observations.
-	maxObservations    = 20
-	slowest, fastest   = 0.1, 3.0
+	// slowestSpeed bounds what is expected of a slow target.
+	slowestSpeed       = 0.1
 	stalledAfter       = 1200 * time.Millisecond
 	moveOverhead       = time.Second
 	moveFactor         = 3.0
@@ -31,6 +29,10 @@
 	// rate is the part of the work done in a second; moved is when it last grew.
 	rate  float64
 	moved time.Time
+	// first is when the run was first measured.
+	first        time.Time
+	firstPercent int
+	observation  *observation
 }
 
 // observe learns from the progress of a run: the speed of its target, and the work of
@@ -42,7 +44,7 @@
 	}
 	p := &u.progress
 	if p.at.IsZero() || running.Percent < p.percent {
-		*p = progress{percent: running.Percent, at: now, moved: now}
+		*p = progress{percent: running.Percent, at: now, moved: now, first: now, firstPercent: running.Percent}
 		return
 	}
 	if running.Percent > p.percent {
@@ -54,16 +56,21 @@
 	}
 	p.rate = float64(running.Percent-p.percent) / 100 / took.Seconds()
 	p.percent, p.at = running.Percent, now
-	n := u.slowestNode()
-	if p.rate <= 0 {
-		return
+	if whole := now.Sub(p.first); running.Percent > p.firstPercent {
+		s.note(now, u, float64(running.Percent-p.firstPercent)/100/whole.Seconds())
 	}
-	st := u.step
-	work := s.duration(st).Seconds() * u.remote(s.Limits.RemoteFactor)
-	observed := min(max(n.speed/p.rate, work*minRatio), work*maxRatio)
-	st.observations = min(st.observations+1, maxObservations)
-	st.ratio = s.ratio(st) * (1 + (observed/work-1)/float64(st.observations+1))
-	n.speed += speedWeight * (min(max(p.rate*s.duration(st).Seconds()*u.remote(s.Limits.RemoteFactor), slowest), fastest) - n.speed)
+}
+
+// note keeps the rate of a run for the next fit.
+func (s *Scheduler) note(now time.Time, u *unit, rate float64) {
+	p := &u.progress
+	if p.observation == nil {
+		p.observation = &observation{step: u.step}
+		s.observed = append(s.observed, p.observation)
+	}
+	p.observation.node, p.observation.at = u.slowestNode(), now
+	p.observation.rate = math.Log(rate * u.remote(s.Limits.RemoteFactor))
+	s.observedNews = true
 }
 
 // slowestNode is the target that decides how fast a unit runs.
@@ -89,31 +96,10 @@
 	return 1
 }
 
-// ratio is a step's real work in relation to its estimate.
-func (s *Scheduler) ratio(st *step) float64 {
-	if st.ratio > 0 {
-		return st.ratio
-	}
-	return s.estimateOf(st.job.Queue).ratio
-}
-
-// duration is how long a task of a step is expected to run at speed 1 near its data.
-func (s *Scheduler) duration(st *step) time.Duration {
-	return time.Duration(float64(st.shape.Nominal()) * s.ratio(st))
-}
-
-// learn passes what was observed of a step on to its queue.
-func (s *Scheduler) learn(u *unit) {
-	if u.step.observations > 1 {
-		e := s.estimateOf(u.step.job.Queue)
-		e.ratio += ratioWeight * (min(max(u.step.ratio, minRatio), maxRatio) - e.ratio)
-	}
-}
-
 // left is how long a run is expected to go on where it is.
 func (s *Scheduler) left(now time.Time, u *unit) time.Duration {
 	p := u.progress
-	whole := s.duration(u.step).Seconds() * u.remote(s.Limits.RemoteFactor) / max(u.slowestNode().speed, slowest)
+	whole := s.duration(u.step).Seconds() * u.remote(s.Limits.RemoteFactor) / max(u.slowestNode().speed, slowestSpeed)
 	if p.at.IsZero() {
 		return time.Duration(max(whole-sinceBegun(now, u).Seconds(), 0) * float64(time.Second))
 	}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -45,6 +45,7 @@
 	// failures counts runs in a row that failed here.
 	failures int
 	speed    float64
+	logSpeed float64
 }
 
 // node returns a target by ID. One that is not listed may still be running tasks.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -17,9 +17,9 @@
 	// busyShare of a service in use, a gang waits for a whole rack instead of running spread.
 	busyShare = 0.5
 	// latePenalty keeps tasks from targets that are too slow for their job's objective.
-	latePenalty = 4
+	latePenalty = 1.3
 	// fastShare is what a fast target costs a task that does not need it.
-	fastShare = 0.3
+	fastShare = 0.05
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
 	avoidPenalty = 3
 	// longRunPause spaces the passes in which nothing but time has changed.
@@ -316,7 +316,7 @@
 		p.s.starts = append(p.s.starts, Start{Run: m.run(), Target: r.ID})
 		p.s.log("run placed", Fields{
 			"job": j.ID, "run": m.run(), "target": r.ID, "rack": r.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
-			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "heard": p.now.Sub(r.heard),
+			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "heard": p.now.Sub(r.heard), "speed": r.speed, "slack": c.slack,
 		})
 	}
 	if j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,10 @@
 	starts    []Start
 	stops     []Stop
 	wake      time.Time
+
+	observed     []*observation
+	observedNews bool
+	fitted       time.Time
 }
 
 // Fields describe a decision in the log.
@@ -104,9 +108,9 @@
 	shape      *workload.Step
 	units      []*unit
 	left       int
-	// ratio of real to estimated work; 0 before the first observation.
-	ratio        float64
-	observations int
+	// logWork is the logarithm of one task's work in seconds, once measured.
+	logWork  float64
+	measured bool
 }
 
 // unit is what is started at once: one task, or all tasks of a gang.
@@ -309,6 +313,7 @@
 	s.wake = time.Time{}
 	s.expire(now)
 	s.advance(now)
+	s.fit(now)
 	s.rescue(now)
 	if s.catalogue != nil {
 		s.place(now)
