--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -13,11 +13,13 @@
 	// ratioWeight is the weight of one step in its queue's ratio of real to estimated work.
 	ratioWeight = 0.1
 	// slowestSpeed bounds what is expected of a slow target.
-	slowestSpeed       = 0.1
-	stalledAfter       = 1200 * time.Millisecond
-	moveOverhead       = time.Second
-	moveFactor         = 3.0
-	maxMoves           = 2
+	slowestSpeed = 0.1
+	stalledAfter = 1200 * time.Millisecond
+	moveOverhead = time.Second
+	moveFactor   = 3.0
+	maxMoves     = 2
+	// moveAfter is how long a run is measured before it counts as slow.
+	moveAfter          = 2500 * time.Millisecond
 	nearlyDone         = 90
 	minRatio, maxRatio = 0.2, 5.0
 )
@@ -136,6 +138,9 @@
 			if m.state != present || !m.stopping.IsZero() || m != u.members[0] || u.moves >= maxMoves || u.step.shape.LongRunning || u.progress.at.IsZero() || u.progress.percent >= nearlyDone {
 				continue
 			}
+			if stalled := now.Sub(u.progress.moved) > stalledAfter; !stalled && sinceBegun(now, u) < moveAfter {
+				continue
+			}
 			here, there := s.left(now, u), s.elsewhere(u)
 			if float64(here) < moveFactor*float64(there) {
 				continue
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -17,9 +17,9 @@
 	// busyShare of a service in use, a gang waits for a whole rack instead of running spread.
 	busyShare = 0.5
 	// latePenalty keeps tasks from targets that are too slow for their job's objective.
-	latePenalty = 1.3
+	latePenalty = 4
 	// fastShare is what a fast target costs a task that does not need it.
-	fastShare = 0.05
+	fastShare = 0.3
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
 	avoidPenalty = 3
 	// longRunPause spaces the passes in which nothing but time has changed.
