Acknowledgements belong to one life of a target

The stand-in also held a lost end against a later run of the same task: not allowed by the rule, now tied to the run.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -73,11 +73,20 @@
 }
 
 // acknowledge notes that ends are durable. The session's lock is held.
-func (a *agent) acknowledge(seen int64) {
-	a.acknowledged = max(a.acknowledged, seen)
+func (a *agent) acknowledge(seen seenEnd) {
+	a.acknowledged = max(a.acknowledgedIn(seen.born), seen.number)
 	poke(a.renew)
 }
 
+// acknowledgedIn returns the last durable end in a life of the target; a new life starts
+// from nothing.
+func (a *agent) acknowledgedIn(born int64) int64 {
+	if a.born != born {
+		a.born, a.acknowledged, a.told = born, 0, 0
+	}
+	return a.acknowledged
+}
+
 // report renews the target's lease while it runs anything and takes its reports.
 func (a *agent) report(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -128,17 +137,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	needs := s.plan.Attention(time.Now(), a.id)
-	if needs.Listing.Born != a.born {
-		a.born, a.acknowledged, a.told = needs.Listing.Born, 0, 0
-	}
-	if !needs.Listing.Address.IsValid() || (!needs.Runs && !needs.Unknown && a.acknowledged == a.told) {
+	acknowledged := a.acknowledgedIn(needs.Listing.Born)
+	if !needs.Listing.Address.IsValid() || (!needs.Runs && !needs.Unknown && acknowledged == a.told) {
 		return target.RenewOrder{}, target.Listing{}, false
 	}
 	s.plan.Asked(time.Now(), a.id)
-	order := target.RenewOrder{Fence: s.tenure.Token, Acknowledged: a.acknowledged}
+	order := target.RenewOrder{Fence: s.tenure.Token, Acknowledged: acknowledged}
 	if needs.Runs {
 		order.Deadline = s.plan.Deadline(time.Now(), a.id)
-		if !needs.Unknown && !needs.Quiet && a.acknowledged == needs.Seen {
+		if !needs.Unknown && !needs.Quiet && acknowledged == needs.Seen {
 			order.Wait = reportWait
 		}
 	}
@@ -160,10 +167,12 @@
 func (a *agent) take(sent time.Time, order target.RenewOrder, report target.Report) bool {
 	s := a.session
 	s.mu.Lock()
-	a.told = max(a.told, order.Acknowledged)
-	before := s.plan.Attention(time.Now(), a.id).Seen
+	before := s.plan.Attention(time.Now(), a.id)
+	if report.Born == 0 || report.Born == before.Listing.Born {
+		a.told = max(a.told, order.Acknowledged)
+	}
 	s.plan.Reported(time.Now(), a.id, sent, report)
-	news := s.plan.Attention(time.Now(), a.id).Seen != before
+	news := s.plan.Attention(time.Now(), a.id).Seen != before.Seen
 	s.mu.Unlock()
 	s.signal()
 	return news
--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -29,12 +29,18 @@
 	writes map[string]*wire.ProgressRecord
 	starts []scheduler.Start
 	// seen is, by target, the last end whose effect the writes hold.
-	seen    map[string]int64
+	seen    map[string]seenEnd
 	pending map[string]int32
 }
 
+// seenEnd is the number of an end in one life of a target; another life counts anew.
+type seenEnd struct {
+	born   int64
+	number int64
+}
+
 func newBatch() batch {
-	return batch{writes: map[string]*wire.ProgressRecord{}, seen: map[string]int64{}}
+	return batch{writes: map[string]*wire.ProgressRecord{}, seen: map[string]seenEnd{}}
 }
 
 // queue adds a plan to the next commit. The lock is held.
@@ -44,8 +50,9 @@
 	}
 	s.queued.starts = append(s.queued.starts, plan.Starts...)
 	for _, id := range s.plan.Targets() {
-		if seen := s.plan.Attention(time.Now(), id).Seen; seen > s.agent(id).acknowledged {
-			s.queued.seen[id] = seen
+		held := s.plan.Attention(time.Now(), id)
+		if held.Seen > s.agent(id).acknowledgedIn(held.Listing.Born) {
+			s.queued.seen[id] = seenEnd{born: held.Listing.Born, number: held.Seen}
 		}
 	}
 	if len(s.queued.writes) > 0 || len(s.queued.seen) > 0 {
@@ -85,7 +92,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, seen := range held.seen {
-		s.agent(id).acknowledge(seen)
+		if s.plan.Attention(time.Now(), id).Listing.Born == seen.born {
+			s.agent(id).acknowledge(seen)
+		}
 	}
 	for _, start := range held.starts {
 		s.agent(start.Target).start(start)
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -35,8 +35,8 @@
 	done      map[target.Task]bool
 	failures  map[target.Task]int
 	broken    []string
-	// suspects are starts after an end `done` that may yet be acknowledged.
-	suspects map[target.Task]bool
+	// started is the highest run of each task that was started.
+	started map[target.Task]int
 	// noted are the tasks of which an end `done` was acknowledged.
 	noted map[target.Task]bool
 }
@@ -73,7 +73,7 @@
 	defer f.mu.Unlock()
 	if f.machines == nil {
 		f.machines, f.jobs, f.cancelled = map[string]*machine{}, map[string]*workload.Job{}, map[string]time.Time{}
-		f.done, f.failures, f.suspects = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]bool{}
+		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
 		f.noted = map[target.Task]bool{}
 	}
 	f.machines[listing.ID] = &machine{
@@ -287,11 +287,9 @@
 			f.breach("twice: %s on %s runs on %s too", order.Run, m.listing.ID, other.listing.ID)
 		}
 	}
-	if f.done[order.Task] {
-		f.suspects[order.Task] = true
-		if f.noted[order.Task] {
-			f.breach("twice: %s started after its end was acknowledged", order.Run)
-		}
+	f.started[order.Task] = max(f.started[order.Task], order.Number)
+	if f.noted[order.Task] {
+		f.breach("twice: %s started after its end was acknowledged", order.Run)
 	}
 	if f.failures[order.Task] >= f.Attempts && f.Attempts > 0 {
 		f.breach("budget: %s started after %d failures", order.Run, f.failures[order.Task])
@@ -366,7 +364,7 @@
 			continue
 		}
 		f.noted[end.Task] = true
-		if f.suspects[end.Task] {
+		if f.started[end.Task] > end.Run.Number {
 			f.breach("twice: %s had ended done on %s and was started again", end.Run, m.listing.ID)
 		}
 	}
