--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -16,6 +16,8 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/entry"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/logsink"
+	"github.com/eelgrasstide/eelgrasstide/internal/relay"
+	"github.com/eelgrasstide/eelgrasstide/internal/roster"
 	"github.com/eelgrasstide/eelgrasstide/platform"
 )
 
@@ -58,8 +60,11 @@
 func newEntry(settings *platform.Settings) *entry.Entry {
 	client := platform.NewClient()
 	registry := metrics.NewRegistry()
+	direct := &platform.Store{Address: settings.Store, Client: client}
+	hosts := &roster.Roster{Store: direct, Name: settings.Entry.Name, Zone: settings.Entry.Zone, Address: settings.Hosts, Log: log.Log}
+	store := &relay.Relay{Direct: direct, Peers: hosts.Peers, Client: client, Metrics: registry, Log: log.Log}
 	e := &entry.Entry{
-		Settings: settings.Entry, Store: &platform.Store{Address: settings.Store, Client: client}, Targets: &platform.Targets{Client: client},
+		Settings: settings.Entry, Store: store, Targets: &platform.Targets{Client: client}, Roster: hosts,
 		Registry: registry, Log: log.Log,
 		Source: entry.Source{
 			OperatorPrefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, ReadCatalogue: platform.ReadCatalogue,
@@ -69,7 +74,10 @@
 	e.Intake = &intake.Intake{Store: e.Store, Catalogue: e.Catalogue, Metrics: registry, Log: log.Log}
 	e.Callers = entry.Listener{Address: settings.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
 	e.Ready = entry.Listener{Address: settings.Ready, Handler: readiness(e)}
-	e.Metrics = entry.Listener{Address: settings.Metrics, Handler: figures(registry)}
+	between := http.NewServeMux()
+	between.Handle("/metrics", figures(registry))
+	between.Handle("/", store.Handler())
+	e.Hosts = entry.Listener{Address: settings.Hosts, Handler: between}
 	return e
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/fault"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/roster"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
 )
@@ -47,10 +48,13 @@
 	Targets  target.Targets
 	// Source tells where the platform keeps what, and decodes it.
 	Source Source
-	// Callers answers callers' calls, Ready the balancer's looks; Metrics is optional.
+	// Callers answers callers' calls, Ready the balancer's looks, Hosts the other hosts'
+	// calls and the readers of metrics.
 	Callers Listener
 	Ready   Listener
-	Metrics Listener
+	Hosts   Listener
+	// Roster finds the other hosts.
+	Roster *roster.Roster
 	// Intake is used by the callers' handler.
 	Intake   *intake.Intake
 	Registry metrics.Registry
@@ -97,7 +101,7 @@
 	e.Log.WithFields(log.Fields{"name": e.Settings.Name, "zone": e.Settings.Zone, "callers": e.Callers.Address.String()}).Info("entry: started")
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	ends := background.Start(loops, background.Task{Name: "configuration", Run: e.follow})
+	ends := background.Start(loops, background.Task{Name: "configuration", Run: e.follow}, background.Task{Name: "roster", Run: e.Roster.Run})
 	planning := background.Start(ctx, background.Task{Name: "term", Run: e.newTerm().Run})
 	select {
 	case <-ctx.Done():
@@ -135,7 +139,7 @@
 func (e *Entry) listen() ([]*http.Server, <-chan error, error) {
 	failures := make(chan error, 3)
 	var servers []*http.Server
-	for _, l := range []Listener{e.Callers, e.Ready, e.Metrics} {
+	for _, l := range []Listener{e.Callers, e.Ready, e.Hosts} {
 		if !l.Address.IsValid() {
 			continue
 		}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,9 +22,15 @@
 	// RetryAfterSeconds is when a caller whose call was refused should come back.
 	RetryAfterSeconds = 1
 	idLength          = 16
-	retryFirst        = 20 * time.Millisecond
-	retryLast         = 300 * time.Millisecond
-	remedyStore       = "send the call again after the time given; the platform's store does not answer"
+	// attemptTime bounds one write, so that a lost answer is found out by another.
+	attemptTime = 600 * time.Millisecond
+	// writeTime bounds all attempts: a caller is better told to come back.
+	writeTime = 1500 * time.Millisecond
+	// refusedTime bounds the attempts while the store only refuses.
+	refusedTime = 300 * time.Millisecond
+	retryFirst  = 20 * time.Millisecond
+	retryLast   = 300 * time.Millisecond
+	remedyStore = "send the call again after the time given; the platform's store does not answer"
 )
 
 // Intake answers callers. Set the fields before the first call.
@@ -34,6 +40,8 @@
 	Catalogue func() *catalogue.Catalogue
 	Metrics   metrics.Registry
 	Log       log.Interface
+
+	gate gate
 }
 
 // Call is an admitted call.
@@ -100,15 +108,27 @@
 // create writes a key that is absent, and reports whether it was there already. The
 // error is Unavailable only if no attempt may have taken effect.
 func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
+	if !i.gate.enter(time.Now()) {
+		return false, fault.Unavailable.New(remedyStore, "Intake.create: the store takes no writes at present")
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	refusedBy := time.Now().Add(refusedTime)
 	ambiguous := false
 	for wait := retryFirst; ; wait = min(2*wait, retryLast) {
-		result, err := i.Store.Commit(ctx, keyvalue.Txn{Expect: []keyvalue.Expectation{{Key: key}}, Puts: []keyvalue.Put{{Key: key, Value: value}}})
+		result, err := i.attempt(ctx, key, value)
 		if err == nil {
+			i.noteWrite(true)
 			return !result.Applied, nil
 		}
 		ambiguous = ambiguous || !fault.Unavailable.Is(err)
+		if !ambiguous && time.Now().After(refusedBy) {
+			i.noteWrite(false)
+			return false, fault.Unavailable.New(remedyStore, "Intake.create: %v", err)
+		}
 		select {
 		case <-ctx.Done():
+			i.noteWrite(false)
 			if ambiguous {
 				return false, fault.Ambiguous.New("send the call again with the same ID", "Intake.create: %v", err)
 			}
@@ -118,6 +138,18 @@
 	}
 }
 
+func (i *Intake) attempt(ctx context.Context, key string, value []byte) (keyvalue.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	return i.Store.Commit(ctx, keyvalue.Txn{Expect: []keyvalue.Expectation{{Key: key}}, Puts: []keyvalue.Put{{Key: key, Value: value}}})
+}
+
+func (i *Intake) noteWrite(answered bool) {
+	if i.gate.note(time.Now(), answered) {
+		i.Log.WithField("writes", answered).Warn("intake: whether the store takes writes has changed")
+	}
+}
+
 // State tells how a job stands. The error is Gone for a job that is not known.
 func (i *Intake) State(ctx context.Context, call Call) (wire.JobPhase, error) {
 	ctx, cancel := i.bound(ctx, call)
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,290 @@
+// Package relay makes a host's calls to the platform's store, and makes them through
+// another host while the store turns this one away or cannot be reached from it.
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+const (
+	// failuresToDetour is the number of direct calls that have to fail one after the other.
+	failuresToDetour = 2
+	// directPause is how often the direct way is tried again meanwhile.
+	directPause = time.Second
+	// peersPause keeps calls from peers after they could not help either.
+	peersPause = 400 * time.Millisecond
+	peerTries  = 2
+	// callTimeout bounds a call through a peer; a watch may take its wait besides.
+	callTimeout = 1200 * time.Millisecond
+	remedy      = "wait until the platform's store answers; see docs/operators/store-outage.md"
+)
+
+// Relay is the store as this host reaches it. Set the fields before the first call.
+type Relay struct {
+	Direct keyvalue.Service
+	// Peers returns the addresses of the other hosts.
+	Peers   func() []netip.AddrPort
+	Client  *http.Client
+	Metrics metrics.Registry
+	Log     log.Interface
+
+	mu         sync.Mutex
+	failures   int
+	tryDirect  time.Time
+	peersAgain time.Time
+}
+
+var _ keyvalue.Service = (*Relay)(nil)
+
+// Failing reports whether the direct way to the store does not work.
+func (r *Relay) Failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures >= failuresToDetour
+}
+
+// direct reports whether the next call goes to the store itself.
+func (r *Relay) direct(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failures < failuresToDetour {
+		return true
+	}
+	if now.Before(r.tryDirect) {
+		return false
+	}
+	r.tryDirect = now.Add(directPause)
+	return true
+}
+
+// note records how a direct call went.
+func (r *Relay) note(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case err == nil:
+		if r.failures >= failuresToDetour {
+			r.Log.Info("relay: the store answers this host again")
+		}
+		r.failures = 0
+	case fault.Invalid.Is(err):
+	default:
+		r.failures++
+		if r.failures == failuresToDetour {
+			r.tryDirect = time.Now().Add(directPause)
+			r.Log.WithError(err).Warn("relay: the store does not answer this host; its calls go through others")
+		}
+	}
+}
+
+// do makes a call directly or through a peer. Only a call that surely did nothing is
+// made a second time.
+func do[T any](ctx context.Context, r *Relay, call func(context.Context, keyvalue.Service) (T, error)) (T, error) {
+	var none T
+	err := error(fault.Unavailable.New(remedy, "relay.do: no way to the store"))
+	if r.direct(time.Now()) {
+		value, directErr := call(ctx, r.Direct)
+		if ctx.Err() == nil {
+			r.note(directErr)
+		}
+		if directErr == nil || !fault.Unavailable.Is(directErr) {
+			return value, directErr
+		}
+		err = directErr
+	}
+	for _, peer := range r.pick(time.Now()) {
+		metrics.GetOrRegisterCounter("relay.calls", r.Metrics).Inc(1)
+		value, peerErr := call(ctx, peer)
+		if peerErr == nil || !fault.Unavailable.Is(peerErr) {
+			return value, peerErr
+		}
+		err = peerErr
+	}
+	if ctx.Err() == nil {
+		r.mu.Lock()
+		r.peersAgain = time.Now().Add(peersPause)
+		r.mu.Unlock()
+	}
+	return none, err
+}
+
+// pick chooses the peers to try.
+func (r *Relay) pick(now time.Time) []keyvalue.Service {
+	r.mu.Lock()
+	again := r.peersAgain
+	r.mu.Unlock()
+	if now.Before(again) {
+		return nil
+	}
+	peers := r.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var out []keyvalue.Service
+	for _, address := range peers[:min(len(peers), peerTries)] {
+		out = append(out, &peer{client: wire.NewStoreRelayProtobufClient("http://"+address.String(), r.Client)})
+	}
+	return out
+}
+
+// Get reads one key.
+func (r *Relay) Get(ctx context.Context, key string) (*keyvalue.Item, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (*keyvalue.Item, error) { return by.Get(ctx, key) })
+}
+
+// GetStale reads one key from a copy that may be behind.
+func (r *Relay) GetStale(ctx context.Context, key string) (*keyvalue.Item, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (*keyvalue.Item, error) { return by.GetStale(ctx, key) })
+}
+
+type listed struct {
+	items    []keyvalue.Item
+	revision int64
+}
+
+// List reads all keys under a prefix.
+func (r *Relay) List(ctx context.Context, prefix string) ([]keyvalue.Item, int64, error) {
+	found, err := do(ctx, r, func(ctx context.Context, by keyvalue.Service) (listed, error) {
+		items, revision, err := by.List(ctx, prefix)
+		return listed{items, revision}, err
+	})
+	return found.items, found.revision, err
+}
+
+// Watch waits for changes.
+func (r *Relay) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (keyvalue.Events, error) {
+		return by.Watch(ctx, prefix, after, wait)
+	})
+}
+
+// Commit makes one transaction.
+func (r *Relay) Commit(ctx context.Context, txn keyvalue.Txn) (keyvalue.TxnResult, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (keyvalue.TxnResult, error) { return by.Commit(ctx, txn) })
+}
+
+// Grant opens a lease.
+func (r *Relay) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (int64, error) { return by.Grant(ctx, ttl) })
+}
+
+// KeepAlive prolongs a lease.
+func (r *Relay) KeepAlive(ctx context.Context, lease int64) (bool, error) {
+	return do(ctx, r, func(ctx context.Context, by keyvalue.Service) (bool, error) { return by.KeepAlive(ctx, lease) })
+}
+
+// Revoke ends a lease.
+func (r *Relay) Revoke(ctx context.Context, lease int64) error {
+	_, err := do(ctx, r, func(ctx context.Context, by keyvalue.Service) (bool, error) { return true, by.Revoke(ctx, lease) })
+	return err
+}
+
+// peer is the store as another host reaches it.
+type peer struct {
+	client wire.StoreRelay
+}
+
+// said turns the answer of a peer into an error of this host.
+func said(err error) error {
+	var typed twirp.Error
+	if errors.As(err, &typed) && typed.Code() == twirp.Unavailable && typed.Meta("http_error_from_intermediary") == "" {
+		return fault.Unavailable.New(remedy, "relay.peer: %v", err)
+	}
+	return fault.Ambiguous.New(remedy, "relay.peer: %v", err)
+}
+
+func (p *peer) read(ctx context.Context, request *wire.RelayRead) (*wire.RelayItems, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found, err := p.client.Read(ctx, request)
+	if err != nil {
+		// A read has no effect, so another peer may be asked.
+		return nil, fault.Unavailable.New(remedy, "relay.peer: %v", err)
+	}
+	return found, nil
+}
+
+func (p *peer) Get(ctx context.Context, key string) (*keyvalue.Item, error) {
+	return first(p.read(ctx, &wire.RelayRead{Key: key}))
+}
+
+func (p *peer) GetStale(ctx context.Context, key string) (*keyvalue.Item, error) {
+	return first(p.read(ctx, &wire.RelayRead{Key: key, Stale: true}))
+}
+
+func first(found *wire.RelayItems, err error) (*keyvalue.Item, error) {
+	if err != nil || len(found.GetItems()) == 0 {
+		return nil, err
+	}
+	return &fromWire(found.GetItems())[0], nil
+}
+
+func (p *peer) List(ctx context.Context, prefix string) ([]keyvalue.Item, int64, error) {
+	found, err := p.read(ctx, &wire.RelayRead{Key: prefix, Prefix: true})
+	return fromWire(found.GetItems()), found.GetRevision(), err
+}
+
+func (p *peer) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	found, err := p.client.Watch(ctx, &wire.RelayWatch{Prefix: prefix, After: after, Wait: durationpb.New(wait)})
+	if err != nil {
+		return keyvalue.Events{}, fault.Unavailable.New(remedy, "relay.peer: %v", err)
+	}
+	return keyvalue.Events{Items: fromWire(found.GetItems()), Revision: found.GetRevision(), Compacted: found.GetCompacted()}, nil
+}
+
+func (p *peer) Commit(ctx context.Context, txn keyvalue.Txn) (keyvalue.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := &wire.RelayTxn{Deletes: txn.Deletes}
+	for _, expect := range txn.Expect {
+		request.Expect = append(request.Expect, &wire.RelayItem{Key: expect.Key, Revision: expect.Revision})
+	}
+	for _, put := range txn.Puts {
+		request.Puts = append(request.Puts, &wire.RelayPut{Key: put.Key, Value: put.Value, Lease: put.Lease})
+	}
+	found, err := p.client.Commit(ctx, request)
+	if err != nil {
+		return keyvalue.TxnResult{}, said(err)
+	}
+	return keyvalue.TxnResult{Applied: found.GetApplied(), Revision: found.GetRevision(), Current: fromWire(found.GetCurrent())}, nil
+}
+
+func (p *peer) lease(ctx context.Context, request *wire.RelayLease) (*wire.RelayLease, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	found, err := p.client.Lease(ctx, request)
+	if err != nil {
+		return nil, said(err)
+	}
+	return found, nil
+}
+
+func (p *peer) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	found, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_GRANT, Ttl: durationpb.New(ttl)})
+	return found.GetLease(), err
+}
+
+func (p *peer) KeepAlive(ctx context.Context, lease int64) (bool, error) {
+	found, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_KEEP, Lease: lease})
+	return found.GetAlive(), err
+}
+
+func (p *peer) Revoke(ctx context.Context, lease int64) error {
+	_, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_END, Lease: lease})
+	return err
+}
