--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	.ci/test
 
 format:
-	cd tools && go run mvdan.cc/gofumpt -w ../cmd ../internal ../pkg ../test
+	cd tools && go run mvdan.cc/gofumpt -w ../cmd ../internal ../pkg ../platform ../test
 
 generate:
 	./schema/generate.sh
--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -52,8 +53,7 @@
 		go recheck(ctx, path)
 		err = newEntry(settings).Run(ctx)
 		stop()
-		<-flushed
-		return err
+		return errors.Join(err, <-flushed)
 	}
 }
 
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,69 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/fault"
+	"github.com/eelgrasstide/eelgrasstide/internal/intake"
+	"github.com/eelgrasstide/eelgrasstide/internal/standin/batchstore"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
+)
+
+func newIntake(store *batchstore.Store) *intake.Intake {
+	return &intake.Intake{
+		Store: store, Catalogue: func() *catalogue.Catalogue { return nil }, Metrics: metrics.NewRegistry(),
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	}
+}
+
+func job(id string) *workload.Job {
+	return &workload.Job{ID: id, Steps: []workload.Step{{Count: 1}}}
+}
+
+func TestSubmitInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &batchstore.Store{}
+		i := newIntake(store)
+		store.SetDown(true)
+		begun := time.Now()
+		if err := i.Submit(context.Background(), intake.Call{ID: "1"}, job("1")); !fault.Ambiguous.Is(err) {
+			t.Errorf("the first write in an outage: have %v, want an ambiguous error", err)
+		}
+		if took := time.Since(begun); took > 2*time.Second {
+			t.Errorf("it was held for %s", took)
+		}
+		begun = time.Now()
+		if err := i.Submit(context.Background(), intake.Call{ID: "2"}, job("2")); !fault.Unavailable.Is(err) {
+			t.Errorf("the next: have %v, want a refusal", err)
+		}
+		if took := time.Since(begun); took != 0 {
+			t.Errorf("the refusal took %s", took)
+		}
+		store.SetDown(false)
+		time.Sleep(time.Second)
+		if err := i.Submit(context.Background(), intake.Call{ID: "3"}, job("3")); err != nil {
+			t.Errorf("after the outage: have %v", err)
+		}
+		if item, err := store.Get(context.Background(), "job/2/submitted"); err != nil || item != nil {
+			t.Errorf("the refused job is in the store: %+v, %v", item, err)
+		}
+	})
+}
+
+func TestSubmitResolvesALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &batchstore.Store{}
+		store.LoseAnswers(1, 0)
+		if err := newIntake(store).Submit(context.Background(), intake.Call{ID: "1"}, job("1")); err != nil {
+			t.Errorf("Submit: have %v, want the job accepted", err)
+		}
+	})
+}
