Speeds learned from each member of a gang

A run's report shows each member's own progress. Change: progress is measured by member; a place where the job would use over 0.8 of its spare time counts as late.

--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -38,13 +38,12 @@
 }
 
 // observe learns from the progress of a run: the speed of its target, and the work of
-// its step, which all its tasks share.
+// its step, which all its tasks share. The members of a gang get on each at its own rate.
 func (s *Scheduler) observe(now time.Time, m *member, running target.Running) {
-	u := m.unit
-	if u.step.shape.LongRunning || (u.step.shape.Gang && m != u.members[0]) {
+	if m.unit.step.shape.LongRunning {
 		return
 	}
-	p := &u.progress
+	p := &m.progress
 	if p.at.IsZero() || running.Percent < p.percent {
 		*p = progress{percent: running.Percent, at: now, moved: now, first: now, firstPercent: running.Percent}
 		return
@@ -59,33 +58,22 @@
 	p.rate = float64(running.Percent-p.percent) / 100 / took.Seconds()
 	p.percent, p.at = running.Percent, now
 	if whole := now.Sub(p.first); running.Percent > p.firstPercent {
-		s.note(now, u, float64(running.Percent-p.firstPercent)/100/whole.Seconds())
+		s.note(now, m, float64(running.Percent-p.firstPercent)/100/whole.Seconds())
 	}
 }
 
 // note keeps the rate of a run for the next fit.
-func (s *Scheduler) note(now time.Time, u *unit, rate float64) {
-	p := &u.progress
+func (s *Scheduler) note(now time.Time, m *member, rate float64) {
+	p := &m.progress
 	if p.observation == nil {
-		p.observation = &observation{step: u.step}
+		p.observation = &observation{step: m.unit.step, node: m.node}
 		s.observed = append(s.observed, p.observation)
 	}
-	p.observation.node, p.observation.at = u.slowestNode(), now
-	p.observation.rate = math.Log(rate * u.remote(s.Limits.RemoteFactor))
+	p.observation.at = now
+	p.observation.rate = math.Log(rate * m.unit.remote(s.Limits.RemoteFactor))
 	s.observedNews = true
 }
 
-// slowestNode is the target that decides how fast a unit runs.
-func (u *unit) slowestNode() *node {
-	n := u.members[0].node
-	for _, m := range u.members {
-		if m.node.speed < n.speed {
-			n = m.node
-		}
-	}
-	return n
-}
-
 // remote is how much longer a unit runs for being away from its data or spread over racks.
 func (u *unit) remote(factor float64) float64 {
 	shape := u.step.shape
@@ -98,10 +86,18 @@
 	return 1
 }
 
-// left is how long a run is expected to go on where it is.
+// left is how long a unit's run is expected to go on where it is: as its slowest member.
 func (s *Scheduler) left(now time.Time, u *unit) time.Duration {
-	p := u.progress
-	whole := s.duration(u.step).Seconds() * u.remote(s.Limits.RemoteFactor) / max(u.slowestNode().speed, slowestSpeed)
+	longest := time.Duration(0)
+	for _, m := range u.members {
+		longest = max(longest, s.memberLeft(now, m))
+	}
+	return longest
+}
+
+func (s *Scheduler) memberLeft(now time.Time, m *member) time.Duration {
+	p, u := m.progress, m.unit
+	whole := s.duration(u.step).Seconds() * u.remote(s.Limits.RemoteFactor) / max(m.node.speed, slowestSpeed)
 	if p.at.IsZero() {
 		return time.Duration(max(whole-sinceBegun(now, u).Seconds(), 0) * float64(time.Second))
 	}
@@ -125,7 +121,11 @@
 func (s *Scheduler) elsewhere(u *unit) time.Duration {
 	rest := 1.0
 	if u.step.shape.Checkpointing && u.checkpoint != "" {
-		rest = float64(100-u.progress.percent) / 100
+		least := 100
+		for _, m := range u.members {
+			least = min(least, m.progress.percent)
+		}
+		rest = float64(100-least) / 100
 	}
 	return moveOverhead + time.Duration(rest*float64(s.duration(u.step)))
 }
@@ -134,26 +134,26 @@
 func (s *Scheduler) rescue(now time.Time) {
 	for _, n := range s.nodes {
 		for _, m := range n.sorted() {
-			u := m.unit
-			if m.state != present || !m.stopping.IsZero() || m != u.members[0] || u.moves >= maxMoves || u.step.shape.LongRunning || u.progress.at.IsZero() || u.progress.percent >= nearlyDone {
+			u, p := m.unit, m.progress
+			if m.state != present || !m.stopping.IsZero() || u.moves >= maxMoves || u.step.shape.LongRunning || p.at.IsZero() || p.percent >= nearlyDone {
 				continue
 			}
-			if stalled := now.Sub(u.progress.moved) > stalledAfter; !stalled && sinceBegun(now, u) < moveAfter {
+			stalled := now.Sub(p.moved)
+			if stalled <= stalledAfter && sinceBegun(now, u) < moveAfter {
 				continue
 			}
-			here, there := s.left(now, u), s.elsewhere(u)
+			here, there := s.memberLeft(now, m), s.elsewhere(u)
 			if float64(here) < moveFactor*float64(there) {
 				continue
 			}
-			slow := u.slowestNode()
 			u.moves++
-			u.avoid = slow.ID
-			if now.Sub(u.progress.moved) > stalledAfter {
-				slow.block(now.Add(blamePause))
+			u.avoid = n.ID
+			if stalled > stalledAfter {
+				n.block(now.Add(blamePause))
 			}
 			s.log("run moved", Fields{
-				"job": u.step.job.ID, "run": m.run(), "target": slow.ID, "percent": u.progress.percent, "here": here, "there": there,
-				"stalled": now.Sub(u.progress.moved), "speed": slow.speed,
+				"job": u.step.job.ID, "run": m.run(), "target": n.ID, "percent": p.percent, "here": here, "there": there,
+				"stalled": stalled, "speed": n.speed,
 			})
 			s.stop(now, u, "it makes too little progress")
 		}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -18,6 +18,8 @@
 	busyShare = 0.5
 	// latePenalty keeps tasks from targets that are too slow for their job's objective.
 	latePenalty = 4
+	// safeSlack of a job's spare time is counted on, as estimates are rough.
+	safeSlack = 0.8
 	// fastShare is what a fast target costs a task that does not need it.
 	fastShare = 0.3
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
@@ -167,7 +169,7 @@
 	}
 	seconds := work / r.speed
 	cost := work * (1 + fastShare*r.speed)
-	if seconds > c.slack {
+	if seconds > safeSlack*c.slack {
 		cost = latePenalty * seconds
 	}
 	if u != nil && u.avoid == r.ID {
@@ -303,7 +305,7 @@
 func (p *pass) start(c *candidate, u *unit, chosen []*room) {
 	j := c.step.job
 	u.run++
-	u.failed, u.progress, u.begun = false, progress{}, time.Time{}
+	u.failed, u.begun = false, time.Time{}
 	for i, r := range chosen {
 		m := &member{unit: u, index: u.index + i, node: r.node, state: intended}
 		u.members = append(u.members, m)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -124,9 +124,8 @@
 	// members are the tasks of the current run that may be alive.
 	members []*member
 	// failed says that the current run's failure has been counted.
-	failed   bool
-	begun    time.Time
-	progress progress
+	failed bool
+	begun  time.Time
 	// preempted counts how often the unit was stopped to make room.
 	preempted int
 	// moves counts how often the unit was moved for lack of progress.
@@ -144,6 +143,7 @@
 	state memberState
 	// confirmed is when the target acknowledged the start or listed the run.
 	confirmed time.Time
+	progress  progress
 	// doubtful says that a start was sent and not answered.
 	doubtful bool
 	// stopping and stopped are when the stop was decided and acknowledged.
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -14,14 +14,14 @@
 	observedHalf = 10 * time.Second
 	// Standard deviations of the logarithms: of a task's work within its step, of a step's
 	// work against its estimate, and of the targets' speeds.
-	taskSpread   = 0.25
+	taskSpread   = 0.15
 	stepSpread   = 0.5
 	speedSpread  = 0.45
 	logSpeedSpan = 1.2
 )
 
 // observation is the rate at which a run has got on: its target's speed over its step's
-// work, in logarithms. A gang's is that of its slowest target.
+// work, in logarithms.
 type observation struct {
 	node *node
 	step *step
