--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,6 +20,8 @@
 	latePenalty = 4
 	// safeSlack of a job's spare time is counted on, as estimates are rough.
 	safeSlack = 0.8
+	// tightShare of a job's spare time taken by its work, it gets the fastest target.
+	tightShare = 0.5
 	// fastShare is what a fast target costs a task that does not need it.
 	fastShare = 0.3
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
@@ -169,6 +171,9 @@
 	}
 	seconds := work / r.speed
 	cost := work * (1 + fastShare*r.speed)
+	if work > tightShare*c.slack {
+		cost = seconds
+	}
 	if seconds > safeSlack*c.slack {
 		cost = latePenalty * seconds
 	}
