--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -22,6 +22,7 @@
 	// maxCommitBytes keeps one transaction well below what the store takes.
 	maxCommitBytes = 512 << 10
 	pendingPeriod  = 500 * time.Millisecond
+	speedsPeriod   = 2 * time.Second
 )
 
 // batch is what one commit makes durable, and what may happen after it.
@@ -31,6 +32,7 @@
 	// seen is, by target, the last end whose effect the writes hold.
 	seen    map[string]seenEnd
 	pending map[string]int32
+	speeds  map[string]float32
 }
 
 // seenEnd is the number of an end in one life of a target; another life counts anew.
@@ -65,7 +67,7 @@
 
 // commitAll makes queued writes durable, one commit at a time.
 func (s *session) commitAll(ctx context.Context) error {
-	published := time.Time{}
+	published, learned := time.Time{}, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -79,6 +81,9 @@
 		if pending := s.plan.Pending(); time.Since(published) >= pendingPeriod && !maps.Equal(pending, s.pending) {
 			held.pending, s.pending, published = pending, pending, time.Now()
 		}
+		if time.Since(learned) >= speedsPeriod {
+			held.speeds, learned = s.plan.Speeds(), time.Now()
+		}
 		s.mu.Unlock()
 		if err := s.makeDurable(ctx, held); err != nil {
 			return err
@@ -111,6 +116,13 @@
 		}
 		puts = append(puts, keyvalue.Put{Key: ledger.PendingKey, Value: value})
 	}
+	if len(held.speeds) > 0 {
+		value, err := ledger.Write(&wire.SpeedsRecord{LogSpeeds: held.speeds})
+		if err != nil {
+			return err
+		}
+		puts = append(puts, keyvalue.Put{Key: ledger.SpeedsKey, Value: value})
+	}
 	for id, record := range held.writes {
 		value, err := ledger.Write(record)
 		if err != nil {
--- a/internal/coordinator/news.go
+++ b/internal/coordinator/news.go
@@ -51,6 +51,14 @@
 	if sequence != nil {
 		s.sequence = *sequence
 	}
+	speeds := &wire.SpeedsRecord{}
+	if learned, err := s.Store.Get(ctx, ledger.SpeedsKey); err != nil {
+		return err
+	} else if learned != nil {
+		if err := ledger.Read(learned.Value, speeds); err != nil {
+			return err
+		}
+	}
 	progress := map[string]*wire.ProgressRecord{}
 	for _, item := range written {
 		record := &wire.ProgressRecord{}
@@ -66,6 +74,7 @@
 		s.version = held.Version
 		s.plan.Configure(held)
 	}
+	s.plan.InheritSpeeds(time.Now(), speeds.GetLogSpeeds())
 	for _, item := range targets {
 		s.takeTarget(item)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -16,6 +16,7 @@
 	JobPrefix      = "job/"
 	ProgressPrefix = "progress/"
 	PendingKey     = "planner-pending"
+	SpeedsKey      = "planner-speeds"
 	// SequenceKey changes with each write of the planner, so that a write that is
 	// carried out late does nothing.
 	SequenceKey = "planner-sequence"
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -49,6 +49,8 @@
 	failures int
 	speed    float64
 	logSpeed float64
+	// usualSpeed follows logSpeed slowly, and stands for it while nothing runs here.
+	usualSpeed float64
 }
 
 // node returns a target by ID. One that is not listed may still be running tasks.
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -18,6 +18,8 @@
 	stepSpread   = 0.5
 	speedSpread  = 0.45
 	logSpeedSpan = 1.2
+	// usualWeight is the weight of one fit in a target's usual speed.
+	usualWeight = 0.05
 )
 
 // observation is the rate at which a run has got on: its target's speed over its step's
@@ -58,17 +60,50 @@
 			of := speeds[o.node]
 			of.total, of.weight = of.total+weight*(o.rate+o.step.logWork), of.weight+weight
 		}
-		mean := 0.0
 		for n, of := range speeds {
 			prior := 1 / (speedSpread * speedSpread)
-			n.logSpeed = of.total / (of.weight + prior)
-			mean += n.logSpeed / float64(len(speeds))
+			n.logSpeed = (of.total + prior*n.usualSpeed) / (of.weight + prior)
 		}
-		for n := range speeds {
-			n.logSpeed = min(max(n.logSpeed-mean, -logSpeedSpan), logSpeedSpan)
-			n.speed = math.Exp(n.logSpeed)
+		s.normalise()
+	}
+	for _, n := range s.nodes {
+		n.usualSpeed += usualWeight * (n.logSpeed - n.usualSpeed)
+	}
+}
+
+// normalise makes the geometric mean of all targets' speeds 1.
+func (s *Scheduler) normalise() {
+	mean, count := 0.0, 0
+	for _, n := range s.nodes {
+		if n.listed {
+			mean, count = mean+n.logSpeed, count+1
+		}
+	}
+	for _, n := range s.nodes {
+		n.logSpeed = min(max(n.logSpeed-mean/float64(max(count, 1)), -logSpeedSpan), logSpeedSpan)
+		n.speed = math.Exp(n.logSpeed)
+	}
+}
+
+// Speeds returns the logarithms of the targets' usual speeds.
+func (s *Scheduler) Speeds() map[string]float32 {
+	out := make(map[string]float32, len(s.nodes))
+	for id, n := range s.nodes {
+		if n.listed && n.usualSpeed != 0 {
+			out[id] = float32(n.usualSpeed)
 		}
 	}
+	return out
+}
+
+// InheritSpeeds takes what a former planner learned of the targets.
+func (s *Scheduler) InheritSpeeds(now time.Time, speeds map[string]float32) {
+	s.prepare()
+	for id, speed := range speeds {
+		n := s.node(now, id)
+		n.usualSpeed = min(max(float64(speed), -logSpeedSpan), logSpeedSpan)
+		n.logSpeed, n.speed = n.usualSpeed, math.Exp(n.usualSpeed)
+	}
 }
 
 // trim drops observations that are old or too many.
