--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -19,6 +19,8 @@
 	commitWait = 250 * time.Millisecond
 	// idleCheck is how often an agent without work looks whether its target is gone.
 	idleCheck = 2 * time.Second
+	// linePause bounds the log while a target does not accept orders.
+	linePause = time.Second
 )
 
 // agent deals with one target: it renews the leases there, reads the reports and
@@ -36,6 +38,8 @@
 	mu     sync.Mutex
 	stops  []scheduler.Stop
 	starts []scheduler.Start
+	// logged is when an order that was not accepted was last logged.
+	logged time.Time
 }
 
 // agent returns the agent of a target. The session's lock is held.
@@ -114,7 +118,7 @@
 			return
 		default:
 			if ctx.Err() == nil {
-				a.session.Log.WithFields(log.Fields{"target": a.id, "answer": reply.Answer.String(), "took": time.Since(sent)}).Info("coordinator: a renewal was not accepted")
+				a.unaccepted("renewal", log.Fields{"answer": reply.Answer.String(), "took": time.Since(sent)})
 			}
 			pause(ctx, retryPause)
 		}
@@ -257,6 +261,20 @@
 		a.session.cancel(errFenced)
 	}
 	if reply.Answer != target.Accepted {
-		a.session.Log.WithFields(log.Fields{"target": a.id, "run": run, "answer": reply.Answer.String()}).Info("coordinator: a " + kind + " was not accepted")
+		a.unaccepted(kind, log.Fields{"run": run, "answer": reply.Answer.String()})
+	}
+}
+
+// unaccepted logs an order that was not accepted; while a target goes on so, once a
+// linePause. The counters hold them all.
+func (a *agent) unaccepted(kind string, fields log.Fields) {
+	a.mu.Lock()
+	due := time.Since(a.logged) >= linePause
+	if due {
+		a.logged = time.Now()
+	}
+	a.mu.Unlock()
+	if due {
+		a.session.Log.WithFields(fields).WithField("target", a.id).Info("coordinator: a " + kind + " was not accepted")
 	}
 }
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -184,7 +184,7 @@
 		},
 		Limits: scheduler.Limits{
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: time.Hour,
-			StopTimeout: 200 * time.Millisecond, CheckpointPeriod: time.Second,
+			CheckpointPeriod: time.Second,
 		},
 		Metrics: metrics.NewRegistry(), Log: quiet,
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -26,10 +26,6 @@
 	MemoryMB  int64
 	// MaxTaskLease is the longest lease that targets grant.
 	MaxTaskLease time.Duration
-	// StopTimeout is how long a target may take to stop a run.
-	StopTimeout time.Duration
-	// Reclaim is how soon a guaranteed job starts.
-	Reclaim time.Duration
 	// StopGrace is the time from the signal to stop to the kill.
 	StopGrace time.Duration
 	// Retention is how long ended jobs are known.
@@ -50,8 +46,8 @@
 
 func (s *Settings) limits() scheduler.Limits {
 	return scheduler.Limits{
-		TaskLease: min(s.MaxTaskLease, maxTaskLease), RenewalHorizon: coordinator.RenewalHorizon, Reclaim: s.Reclaim,
-		StopTimeout: s.StopTimeout, RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
+		TaskLease: min(s.MaxTaskLease, maxTaskLease), RenewalHorizon: coordinator.RenewalHorizon,
+		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
 		CheckpointPeriod: s.CheckpointPeriod,
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -228,7 +228,7 @@
 	seen := map[*unit]bool{}
 	for _, m := range r.sorted() {
 		u := m.unit
-		if seen[u] || !m.stopping.IsZero() || m.state == intended || u.step.job.queue.Priority <= c.step.job.queue.Priority {
+		if seen[u] || !m.stopping.IsZero() || m.state == intended || u.step.job.queue.Priority <= c.step.job.queue.Priority || u.step.shape.LongRunning {
 			continue
 		}
 		seen[u] = true
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -42,10 +42,6 @@
 	TaskLease time.Duration
 	// RenewalHorizon is how long a former planner may have gone on renewing after the last sign of it.
 	RenewalHorizon time.Duration
-	// Reclaim is the time within which a guaranteed job starts.
-	Reclaim time.Duration
-	// StopTimeout is how long a stopped task may take to end.
-	StopTimeout time.Duration
 	// RemoteFactor is how much longer tasks run away from their data or spread over racks.
 	RemoteFactor float64
 	// Retention is how long an ended job is known.
