--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxTaskLease bounds how long the tasks of a target that is lost keep others waiting.
-	maxTaskLease = 6 * time.Second
+	maxTaskLease = 10 * time.Second
 	// weakProcessor is the share of a core below which a host lets others plan.
 	weakProcessor = 0.4
 	// weakDelay is how much later a weak host competes.
