--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -26,15 +26,15 @@
 
 const (
 	// Lease is how long the holder may be silent before another takes over.
-	Lease = 2500 * time.Millisecond
+	Lease = 1600 * time.Millisecond
 	// renewPeriod leaves room for three renewals that fail.
-	renewPeriod  = 500 * time.Millisecond
-	renewTimeout = 600 * time.Millisecond
+	renewPeriod  = 350 * time.Millisecond
+	renewTimeout = 450 * time.Millisecond
 	// watchWait bounds one watch, and so how long a silent connection goes unnoticed.
 	watchWait  = time.Second
 	retryPause = 200 * time.Millisecond
 	// sittingPause lets a holder whose lease ended in an outage return before others compete.
-	sittingPause = 250 * time.Millisecond
+	sittingPause = 200 * time.Millisecond
 	resignTime   = 500 * time.Millisecond
 )
 
