--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -150,19 +150,18 @@
 
 func targetID(i int) string { return fmt.Sprintf("t%d", i) }
 
-func (w *world) listing(i int) target.Listing {
+func listing(i int, born int64) target.Listing {
 	return target.Listing{
-		ID: targetID(i), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r%d", i/perRack), Born: w.born,
+		ID: targetID(i), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r%d", i/perRack), Born: born,
 		Capacity: workload.Resources{MilliCores: 8000, MemoryMB: 800, Accelerators: 4},
 	}
 }
 
 func (w *world) addTarget(i int) {
 	w.born++
-	listing := w.listing(i)
-	w.fleet.Add(listing)
-	value := fmt.Appendf(nil, "%d %d", i, listing.Born)
-	_, err := w.store.Commit(context.Background(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: prefix + listing.ID, Value: value}}})
+	w.fleet.Add(listing(i, w.born))
+	value := fmt.Appendf(nil, "%d %d", i, w.born)
+	_, err := w.store.Commit(context.Background(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: prefix + targetID(i), Value: value}}})
 	if err != nil {
 		w.t.Logf("a target's entry was not answered: %v", err)
 	}
@@ -178,9 +177,7 @@
 			var index int
 			var born int64
 			_, err := fmt.Sscan(string(value), &index, &born)
-			listing := w.listing(index)
-			listing.Born = born
-			return listing, err
+			return listing(index, born), err
 		},
 		Limits: scheduler.Limits{
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: time.Hour,
