--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -26,8 +26,8 @@
 	fastShare = 0.3
 	// avoidPenalty makes a unit prefer another target than the one where it failed.
 	avoidPenalty = 3
-	// longRunPause spaces the passes in which nothing but time has changed.
-	longRunPause = 500 * time.Millisecond
+	// idlePause spaces the passes in which nothing but time has changed.
+	idlePause = 500 * time.Millisecond
 )
 
 // room is a node as one pass of placement sees it.
@@ -82,7 +82,7 @@
 	for _, c := range candidates {
 		p.serve(c)
 	}
-	s.wakeAt(now.Add(longRunPause))
+	s.wakeAt(now.Add(idlePause))
 }
 
 // usable reports whether a target may be given new work.
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -29,20 +29,10 @@
 	if p.kept >= maxReservations {
 		return
 	}
-	count := 1
-	if c.step.shape.Gang {
-		count = c.step.shape.Count
-	}
-	sets := [][]*room{p.rooms}
-	if c.step.shape.Gang && c.step.shape.SameRack && p.rackCanHold(c, count) {
-		sets = sets[:0]
-		for _, name := range p.rackNames() {
-			sets = append(sets, p.racks[name])
-		}
-	}
+	count := c.step.shape.Members()
 	var best []*room
 	var soonest time.Time
-	for _, rooms := range sets {
+	for _, rooms := range p.sets(c, count) {
 		chosen, at := p.soonest(c, rooms, count)
 		if chosen != nil && (best == nil || at.Before(soonest)) {
 			best, soonest = chosen, at
@@ -56,12 +46,24 @@
 	}
 }
 
+// sets returns the rooms among which a unit may be spread: those of one rack, where its
+// tasks have to be in one, or all.
+func (p *pass) sets(c *candidate, count int) [][]*room {
+	if !c.step.shape.Gang || !c.step.shape.SameRack || !p.rackCanHold(c, count) {
+		return [][]*room{p.rooms}
+	}
+	var sets [][]*room
+	for _, name := range p.rackNames() {
+		sets = append(sets, p.racks[name])
+	}
+	return sets
+}
+
 // soonest finds the targets on which count members have room first, and when.
 func (p *pass) soonest(c *candidate, rooms []*room, count int) ([]*room, time.Time) {
 	type option struct {
-		r     *room
-		at    time.Time
-		times int
+		r  *room
+		at time.Time
 	}
 	var options []option
 	for _, r := range rooms {
@@ -70,7 +72,7 @@
 		}
 		at, ok := p.roomAt(c.step.shape, r)
 		if ok {
-			options = append(options, option{r, at, 1})
+			options = append(options, option{r, at})
 		}
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
@@ -119,19 +121,9 @@
 // preempt stops less important runs so that a candidate of the first priority fits.
 // It reports whether room is kept for the candidate.
 func (p *pass) preempt(c *candidate) bool {
-	count := 1
-	if c.step.shape.Gang {
-		count = c.step.shape.Count
-	}
-	sets := [][]*room{p.rooms}
-	if c.step.shape.Gang && c.step.shape.SameRack && p.rackCanHold(c, count) {
-		sets = sets[:0]
-		for _, name := range p.rackNames() {
-			sets = append(sets, p.racks[name])
-		}
-	}
+	count := c.step.shape.Members()
 	var best *clearing
-	for _, rooms := range sets {
+	for _, rooms := range p.sets(c, count) {
 		if found := p.clear(c, rooms, count); found != nil && (best == nil || found.loss < best.loss) {
 			best = found
 		}
