--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -185,6 +185,23 @@
 	}
 }
 
+func TestGangIsSpreadWhenItsRackIsTakenAndMostOfTheServiceIsFree(t *testing.T) {
+	f := newFixture(t, 12)
+	// A small task on one target of each rack leaves no rack with four whole targets.
+	apart := workload.Step{Count: 1, Estimate: time.Minute, Needs: workload.Resources{MilliCores: 1000, Accelerators: 1}}
+	for rack := range 3 {
+		apart.DataRack = fmt.Sprintf("r%d", rack)
+		f.submit(fmt.Sprintf("small%d", rack), "batch", apart)
+	}
+	if starts := f.begin(); len(starts) != 3 {
+		t.Fatalf("want 3 starts, have %v", starts)
+	}
+	f.submit("gang", "batch", workload.Step{Count: 4, Gang: true, SameRack: true, Estimate: time.Second, Needs: workload.Resources{Accelerators: 8}})
+	if starts := f.begin(); len(starts) != 4 {
+		t.Errorf("want 4 starts over several racks, have %v", starts)
+	}
+}
+
 func TestGangStartsWholeOrNotAtAll(t *testing.T) {
 	f := newFixture(t, 2)
 	whole := workload.Step{Count: 3, Gang: true, Estimate: time.Second, Needs: workload.Resources{Accelerators: 8}}
