--- a/internal/scheduler/learn.go
+++ b/internal/scheduler/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -22,6 +23,10 @@
 	moveAfter          = 2500 * time.Millisecond
 	nearlyDone         = 90
 	minRatio, maxRatio = 0.2, 5.0
+	// spreadWeight is the weight of one step in how far off its queue's estimates are.
+	spreadWeight         = 0.1
+	firstSpread          = 0.5
+	minSpread, maxSpread = 0.1, 1.0
 )
 
 // progress is what was last measured of a unit's run.
@@ -38,7 +43,7 @@
 }
 
 // observe learns from the progress of a run: the speed of its target, and the work of
-// its step, which all its tasks share. The members of a gang get on each at its own rate.
+// its step, which all its tasks share.
 func (s *Scheduler) observe(now time.Time, m *member, running target.Running) {
 	if m.unit.step.shape.LongRunning {
 		return
@@ -58,22 +63,43 @@
 	p.rate = float64(running.Percent-p.percent) / 100 / took.Seconds()
 	p.percent, p.at = running.Percent, now
 	if whole := now.Sub(p.first); running.Percent > p.firstPercent {
-		s.note(now, m, float64(running.Percent-p.firstPercent)/100/whole.Seconds())
+		s.note(now, m, running.Percent-p.firstPercent, whole)
 	}
 }
 
-// note keeps the rate of a run for the next fit.
-func (s *Scheduler) note(now time.Time, m *member, rate float64) {
-	p := &m.progress
+// note keeps the rate of a run for the next fit: the percent that it did in a while. The
+// members of a gang get on together, so one of them speaks for all.
+func (s *Scheduler) note(now time.Time, m *member, done int, took time.Duration) {
+	u, p := m.unit, &m.progress
+	if m != u.members[0] {
+		return
+	}
 	if p.observation == nil {
-		p.observation = &observation{step: m.unit.step, node: m.node}
+		p.observation = &observation{step: u.step, nodes: u.nodes()}
 		s.observed = append(s.observed, p.observation)
 	}
-	p.observation.at = now
-	p.observation.rate = math.Log(rate * m.unit.remote(s.Limits.RemoteFactor))
+	remote := u.remote(s.Limits.RemoteFactor)
+	spread := taskSpread
+	if u.step.shape.Gang {
+		spread = gangSpread
+	}
+	o := p.observation
+	o.at, o.rate, o.current = now, math.Log(float64(done)/100/took.Seconds()*remote), math.Log(p.rate*remote)
+	o.variance = spread*spread + math.Pow(percentError/float64(done), 2)
 	s.observedNews = true
 }
 
+// nodes lists the targets of a unit's run, each once.
+func (u *unit) nodes() []*node {
+	var out []*node
+	for _, m := range u.members {
+		if !slices.Contains(out, m.node) {
+			out = append(out, m.node)
+		}
+	}
+	return out
+}
+
 // remote is how much longer a unit runs for being away from its data or spread over racks.
 func (u *unit) remote(factor float64) float64 {
 	shape := u.step.shape
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -47,10 +47,15 @@
 	blocked time.Time
 	// failures counts runs in a row that failed here.
 	failures int
-	speed    float64
-	logSpeed float64
-	// usualSpeed follows logSpeed slowly, and stands for it while nothing runs here.
+	// speed is what is expected at present; usualSpeed is a logarithm.
+	speed      float64
 	usualSpeed float64
+	// slowed is by how much the target is slower at present than usual, in logarithms.
+	slowed float64
+	// priorSpeed is what was known before this planner observed anything here; inherited
+	// says that a former planner had observed it.
+	priorSpeed float64
+	inherited  bool
 }
 
 // node returns a target by ID. One that is not listed may still be running tasks.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -32,6 +32,8 @@
 type estimate struct {
 	// ratio of real to estimated duration at speed 1.
 	ratio float64
+	// spread is how far off estimates are, as a standard deviation of the logarithm.
+	spread float64
 	// work is the mean work of a job, in node-seconds.
 	work float64
 	jobs int
@@ -40,7 +42,7 @@
 func (s *Scheduler) estimateOf(queue string) *estimate {
 	e := s.learned[queue]
 	if e == nil {
-		e = &estimate{ratio: 1}
+		e = &estimate{ratio: 1, spread: firstSpread}
 		s.learned[queue] = e
 	}
 	return e
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -324,6 +324,7 @@
 		p.s.log("run placed", Fields{
 			"job": j.ID, "run": m.run(), "target": r.ID, "rack": r.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "heard": p.now.Sub(r.heard), "speed": r.speed, "slack": c.slack,
+			"expected": p.s.duration(c.step).Seconds() / r.speed,
 		})
 	}
 	if j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -107,6 +107,8 @@
 	// logWork is the logarithm of one task's work in seconds, once measured.
 	logWork  float64
 	measured bool
+	// learned says that the queue's estimates have been compared with the step.
+	learned bool
 }
 
 // unit is what is started at once: one task, or all tasks of a gang.
@@ -205,7 +207,16 @@
 	}
 	s.jobs[j.ID] = j
 	s.assess(j)
-	s.log("job known", Fields{"job": j.ID, "queue": j.Queue, "organisation": j.Organisation, "age": now.Sub(j.Accepted)})
+	s.log("job known", Fields{"job": j.ID, "queue": j.Queue, "organisation": j.Organisation, "age": now.Sub(j.Accepted), "steps": j.shapes()})
+}
+
+// shapes describes the job's steps in the log.
+func (j *job) shapes() []string {
+	var out []string
+	for i := range j.Steps {
+		out = append(out, j.Steps[i].String())
+	}
+	return out
 }
 
 func newOccurrence(j *job, number int) *occurrence {
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -184,6 +185,26 @@
 	}
 }
 
+// String describes the step in the log: its size, what it asks for and how it may be placed.
+func (s *Step) String() string {
+	text := fmt.Sprintf("%d x %s, estimate %s", s.Count, s.Needs, s.Estimate)
+	for _, trait := range []struct {
+		held bool
+		name string
+	}{
+		{s.Gang, "gang"}, {s.SameRack, "one rack"}, {s.Checkpointing, "checkpoints"}, {s.AllowDuplicates, "duplicates"},
+		{s.LongRunning, "long-running"}, {s.Fills, "fills"}, {s.RequiredLabel != "", "label " + s.RequiredLabel},
+		{s.DataRack != "", "data in " + s.DataRack}, {s.Image != "", "image " + s.Image},
+		{s.MaxPerTarget > 0, fmt.Sprintf("at most %d on a target", s.MaxPerTarget)},
+		{s.MaxUnavailable > 0, fmt.Sprintf("at most %d unavailable", s.MaxUnavailable)}, {len(s.After) > 0, fmt.Sprintf("after %v", s.After)},
+	} {
+		if trait.held {
+			text += ", " + trait.name
+		}
+	}
+	return text
+}
+
 // Counted returns what one task takes of a target's capacity.
 func (s *Step) Counted() Resources {
 	counted := s.Needs
--- a/internal/workload/resources.go
+++ b/internal/workload/resources.go
@@ -1,5 +1,7 @@
 package workload
 
+import "fmt"
+
 // Resources is an amount of processor, memory and accelerators.
 type Resources struct {
 	MilliCores   int64
@@ -7,6 +9,11 @@
 	Accelerators int64
 }
 
+// String names the amounts.
+func (r Resources) String() string {
+	return fmt.Sprintf("%d millicores %d MB %d accelerators", r.MilliCores, r.MemoryMB, r.Accelerators)
+}
+
 // Plus returns the sum.
 func (r Resources) Plus(other Resources) Resources {
 	return Resources{r.MilliCores + other.MilliCores, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
