--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -150,48 +150,6 @@
 	}
 }
 
-// State tells how a job stands. The error is Gone for a job that is not known.
-func (i *Intake) State(ctx context.Context, call Call) (wire.JobPhase, error) {
-	ctx, cancel := i.bound(ctx, call)
-	defer cancel()
-	begun := time.Now()
-	phase, err := retry(ctx, func() (wire.JobPhase, error) { return i.state(ctx, call.ID) })
-	if err != nil {
-		return phase, i.refused(call, err)
-	}
-	i.accepted(call, "state told", begun, log.Fields{"phase": phase.String()})
-	return phase, nil
-}
-
-func (i *Intake) state(ctx context.Context, id string) (wire.JobPhase, error) {
-	item, err := i.Store.Get(ctx, ledger.Progress(id))
-	if err != nil {
-		return 0, err
-	}
-	if item != nil {
-		progress := &wire.ProgressRecord{}
-		err := ledger.Read(item.Value, progress)
-		return progress.GetPhase(), err
-	}
-	items, _, err := i.Store.List(ctx, ledger.Folder(id))
-	if err != nil {
-		return 0, err
-	}
-	phase := wire.JobPhase_JOB_PHASE_UNSPECIFIED
-	for _, item := range items {
-		switch item.Key {
-		case ledger.Cancelled(id):
-			return wire.JobPhase_JOB_PHASE_CANCELLED, nil
-		case ledger.Submitted(id):
-			phase = wire.JobPhase_JOB_PHASE_QUEUED
-		}
-	}
-	if phase == wire.JobPhase_JOB_PHASE_UNSPECIFIED {
-		return 0, fault.Gone.New("submit the job first", "Intake.state: no job %s", id)
-	}
-	return phase, nil
-}
-
 // Cancel makes a cancellation durable. The error is Gone for a job that is not known.
 func (i *Intake) Cancel(ctx context.Context, call Call) error {
 	ctx, cancel := i.bound(ctx, call)
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -50,7 +50,7 @@
 
 // assess works out a job's objective and work from its estimates.
 func (s *Scheduler) assess(j *job) {
-	j.objective = time.Duration(j.queue.StretchFactor*float64(chain(j.Steps))) + j.queue.RuntimeObjective
+	j.objective = s.objective(j.occurrences[0])
 	j.work = 0
 	for i := range j.Steps {
 		j.work += float64(j.Steps[i].Count) * j.Steps[i].Nominal().Seconds() * s.share(&j.Steps[i])
@@ -60,16 +60,18 @@
 	e.work += (j.work - e.work) / float64(e.jobs)
 }
 
-// chain is the longest chain of dependent steps.
-func chain(steps []workload.Step) time.Duration {
+// chain is the longest chain of dependent steps, of each of which step tells how long it
+// takes and what it comes after.
+func chain(count int, step func(i int) (time.Duration, []int)) time.Duration {
 	longest := time.Duration(0)
-	ends := make([]time.Duration, len(steps))
-	for i := range steps {
+	ends := make([]time.Duration, count)
+	for i := range count {
+		took, after := step(i)
 		start := time.Duration(0)
-		for _, earlier := range steps[i].After {
+		for _, earlier := range after {
 			start = max(start, ends[earlier])
 		}
-		ends[i] = start + steps[i].Nominal()
+		ends[i] = start + took
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -197,11 +199,12 @@
 		chainLeft += s.duration(other)
 	}
 	worth := s.worth(j)
+	objective := s.objective(st.occurrence)
 	finish := now.Add(chainLeft).Sub(st.occurrence.due)
-	c.slack = (j.objective - finish + s.duration(st)).Seconds()
+	c.slack = (objective - finish + s.duration(st)).Seconds()
 	switch {
-	case finish <= j.objective:
-	case finish <= lateFactor*j.objective:
+	case finish <= objective:
+	case finish <= lateFactor*objective:
 		worth *= lateShare
 	default:
 		worth *= hopelessShare
@@ -210,6 +213,15 @@
 	return worth / max(remaining, 0.01)
 }
 
+// objective is the time within which an occurrence earns its whole credit. It grows with
+// the work, so what was measured of the steps counts and not what their caller guessed.
+func (s *Scheduler) objective(o *occurrence) time.Duration {
+	queue := &o.steps[0].job.queue
+	return time.Duration(queue.StretchFactor*float64(chain(len(o.steps), func(i int) (time.Duration, []int) {
+		return s.duration(o.steps[i]), o.steps[i].shape.After
+	}))) + queue.RuntimeObjective
+}
+
 // worth is the credit that a job earns on time.
 func (s *Scheduler) worth(j *job) float64 {
 	relative := 1.0
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -10,22 +10,10 @@
 )
 
 const (
-	// spreadPenalty weighs the free room that a placement breaks up against duration.
-	spreadPenalty = 0.5
 	// maxReservations is how many steps that find no room may keep some for themselves.
 	maxReservations = 4
 	// busyShare of a service in use, a gang waits for a whole rack instead of running spread.
 	busyShare = 0.5
-	// latePenalty keeps tasks from targets that are too slow for their job's objective.
-	latePenalty = 4
-	// safeSlack of a job's spare time is counted on, as estimates are rough.
-	safeSlack = 0.8
-	// tightShare of a job's spare time taken by its work, it gets the fastest target.
-	tightShare = 0.5
-	// fastShare is what a fast target costs a task that does not need it.
-	fastShare = 0.3
-	// avoidPenalty makes a unit prefer another target than the one where it failed.
-	avoidPenalty = 3
 	// idlePause spaces the passes in which nothing but time has changed.
 	idlePause = 500 * time.Millisecond
 )
@@ -104,13 +92,13 @@
 		if p.failed[key] {
 			break
 		}
-		var chosen []*room
+		var chosen choice
 		if c.step.shape.Gang {
 			chosen = p.gang(c, c.step.shape.Count)
-		} else if r := p.single(c, u); r != nil {
-			chosen = []*room{r}
+		} else {
+			chosen = p.single(c, u)
 		}
-		if chosen == nil {
+		if chosen.rooms == nil {
 			p.failed[key] = true
 			p.reserve(c)
 			break
@@ -160,68 +148,24 @@
 	return r.perStep[st]
 }
 
-// cost compares rooms for a task: a room where the job would be late is worse than any
-// other, and a job with time to spare leaves the fast targets to others. Room that the
-// task would break up counts against it.
-func (p *pass) cost(c *candidate, u *unit, r *room) float64 {
-	shape := c.step.shape
-	work := p.s.duration(c.step).Seconds()
-	if shape.DataRack != "" && shape.DataRack != r.Rack {
-		work *= max(p.s.Limits.RemoteFactor, 1)
-	}
-	seconds := work / r.speed
-	cost := work * (1 + fastShare*r.speed)
-	if work > tightShare*c.slack {
-		cost = seconds
-	}
-	if seconds > safeSlack*c.slack {
-		cost = latePenalty * seconds
-	}
-	if u != nil && u.avoid == r.ID {
-		cost *= avoidPenalty
-	}
-	left := r.free.Minus(shape.Counted())
-	open := (share(left.MilliCores, r.Capacity.MilliCores) + share(left.MemoryMB, r.Capacity.MemoryMB) + share(left.Accelerators, r.Capacity.Accelerators)) / 3
-	return cost * (1 + spreadPenalty*open)
-}
-
-func share(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
-// single finds the best room for one task; nil when there is none.
-func (p *pass) single(c *candidate, u *unit) *room {
-	var best *room
-	lowest := 0.0
-	for _, r := range p.rooms {
-		if !p.fits(c, r) {
-			continue
-		}
-		if cost := p.cost(c, u, r); best == nil || cost < lowest {
-			best, lowest = r, cost
+// gang finds rooms for all members of a gang, in one rack where it can.
+func (p *pass) gang(c *candidate, count int) choice {
+	best := choice{}
+	for _, name := range p.rackNames() {
+		if found := p.fill(c, p.racks[name], count, 1); found.rooms != nil && (best.rooms == nil || found.cost < best.cost) {
+			best = found
 		}
 	}
-	return best
-}
-
-// gang finds rooms for all members of a gang, in one rack where it can; nil when there are none.
-func (p *pass) gang(c *candidate, count int) []*room {
-	var best []*room
-	lowest := 0.0
-	for _, name := range p.rackNames() {
-		chosen, cost := p.fill(c, p.racks[name], count)
-		if chosen != nil && (best == nil || cost < lowest) {
-			best, lowest = chosen, cost
+	if !c.step.shape.SameRack {
+		if found := p.fill(c, p.rooms, count, 1); found.rooms != nil && (best.rooms == nil || found.cost < best.cost) {
+			best = found
 		}
+		return best
 	}
-	if best != nil || (c.step.shape.SameRack && p.rackCanHold(c, count) && p.busy(c)) {
+	if best.rooms != nil || (p.rackCanHold(c, count) && p.busy(c)) {
 		return best
 	}
-	chosen, _ := p.fill(c, p.rooms, count)
-	return chosen
+	return p.fill(c, p.rooms, count, max(p.s.Limits.RemoteFactor, 1))
 }
 
 // busy reports whether so much of a service is in use that a gang spread over racks,
@@ -267,51 +211,12 @@
 	return false
 }
 
-// fill chooses rooms for count members out of some; the slowest member decides the duration.
-func (p *pass) fill(c *candidate, rooms []*room, count int) ([]*room, float64) {
-	type option struct {
-		r     *room
-		cost  float64
-		times int
-	}
-	var options []option
-	total := 0
-	for _, r := range rooms {
-		if !p.fits(c, r) {
-			continue
-		}
-		limit := count
-		if c.step.shape.MaxPerTarget > 0 {
-			limit = min(limit, c.step.shape.MaxPerTarget-r.count(c.step))
-		}
-		times := c.step.shape.Counted().Times(r.free, limit)
-		options = append(options, option{r, p.cost(c, nil, r), times})
-		total += times
-	}
-	if total < count {
-		return nil, 0
-	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	var chosen []*room
-	worst := 0.0
-	for _, o := range options {
-		for range o.times {
-			if len(chosen) == count {
-				return chosen, worst
-			}
-			chosen = append(chosen, o.r)
-			worst = o.cost
-		}
-	}
-	return chosen, worst
-}
-
 // start begins a new run of a unit in the chosen rooms.
-func (p *pass) start(c *candidate, u *unit, chosen []*room) {
+func (p *pass) start(c *candidate, u *unit, chosen choice) {
 	j := c.step.job
 	u.run++
 	u.failed, u.begun = false, time.Time{}
-	for i, r := range chosen {
+	for i, r := range chosen.rooms {
 		m := &member{unit: u, index: u.index + i, node: r.node, state: intended}
 		u.members = append(u.members, m)
 		p.s.attach(m)
@@ -324,7 +229,7 @@
 		p.s.log("run placed", Fields{
 			"job": j.ID, "run": m.run(), "target": r.ID, "rack": r.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "heard": p.now.Sub(r.heard), "speed": r.speed, "slack": c.slack,
-			"expected": p.s.duration(c.step).Seconds() / r.speed,
+			"expected": chosen.seconds,
 		})
 	}
 	if j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
