A withdrawn gang gives its room back once; faster targets are cleared for urgent jobs

A gang whose members were stopped before their commit was closed again and again, as closing one member stops the others, and each time its room was given back: a target stood at -671 cores in use. While ends wait for their commit a target answers renewals at once, so its agent asked again without a pause. Urgent jobs that would be late on free targets have room made on faster ones if that costs less than half of what they gain.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -111,6 +111,7 @@
 		switch reply.Answer {
 		case target.Accepted:
 			if a.take(sent, order, report) {
+				// The target answers at once as long as it has ends to list.
 				wait(ctx, a.renew, commitWait)
 			}
 		case target.Fenced:
@@ -167,7 +168,7 @@
 	return true
 }
 
-// take hands a report to the scheduler and reports whether it brought ends.
+// take hands a report to the scheduler and reports whether ends wait to be durable.
 func (a *agent) take(sent time.Time, order target.RenewOrder, report target.Report) bool {
 	s := a.session
 	s.mu.Lock()
@@ -176,10 +177,11 @@
 		a.told = max(a.told, order.Acknowledged)
 	}
 	s.plan.Reported(time.Now(), a.id, sent, report)
-	news := s.plan.Attention(time.Now(), a.id).Seen != before.Seen
+	after := s.plan.Attention(time.Now(), a.id)
+	waiting := after.Seen > a.acknowledgedIn(after.Listing.Born)
 	s.mu.Unlock()
 	s.signal()
-	return news
+	return waiting
 }
 
 // send gives the target its orders, stops first.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -34,6 +34,8 @@
 	RemoteFactor float64
 	// CheckpointPeriod is the work between two checkpoints.
 	CheckpointPeriod time.Duration
+	// StopTime is how long a target takes at most to stop a run.
+	StopTime time.Duration
 }
 
 // Validate reports the first mistake.
@@ -48,7 +50,7 @@
 	return scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, maxTaskLease), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
-		CheckpointPeriod: s.CheckpointPeriod,
+		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime,
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -103,6 +103,9 @@
 			p.reserve(c)
 			break
 		}
+		if p.hasten(c, chosen) {
+			break
+		}
 		p.start(c, u, chosen)
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -18,6 +18,8 @@
 	stopCredit = 0.1
 	// maxLossShare of a job's worth may be lost to others when room is made for it.
 	maxLossShare = 0.5
+	// likely is the risk from which a job counts as late.
+	likely = 0.5
 )
 
 // reserve keeps room for a candidate that found none: by stopping less valuable runs
@@ -118,34 +120,93 @@
 	loss float64
 }
 
-// preempt stops less important runs so that a candidate of the first priority fits.
-// It reports whether room is kept for the candidate.
+// preempt stops less important runs so that a candidate of the first priority fits, if
+// what is lost is worth it. It reports whether room is kept for the candidate.
 func (p *pass) preempt(c *candidate) bool {
+	best := p.clearing(c)
+	if best == nil || (!c.guaranteed && best.loss > c.earns(best.late)*maxLossShare) {
+		return false
+	}
+	p.carryOut(c, best)
+	return true
+}
+
+// hasten stops less important runs on faster targets for a candidate that would be late
+// on those that are free. It reports whether room is kept for the candidate.
+func (p *pass) hasten(c *candidate, chosen choice) bool {
+	if c.step.job.queue.Priority != 0 || c.risk(chosen.seconds) < likely {
+		return false
+	}
+	best := p.clearing(c)
+	if best == nil || best.late || best.loss > (c.earns(false)-c.earns(true))*maxLossShare {
+		return false
+	}
+	p.carryOut(c, best)
+	return true
+}
+
+// earns is the credit that the candidate's job earns on time or late.
+func (c *candidate) earns(late bool) float64 {
+	if late && c.slack > 0 {
+		return c.worth * lateShare
+	}
+	return c.worth
+}
+
+// clearing finds the cheapest way to make room: what is stopped, and what the job loses if
+// it is late all the same.
+func (p *pass) clearing(c *candidate) *clearing {
 	count := c.step.shape.Members()
 	var best *clearing
 	for _, rooms := range p.sets(c, count) {
-		if found := p.clear(c, rooms, count); found != nil && (best == nil || found.loss < best.loss) {
-			best = found
+		for _, late := range []bool{false, true} {
+			found := p.clear(c, p.inTime(c, rooms, late), count)
+			if found == nil {
+				continue
+			}
+			found.late = late
+			if best == nil || found.loss-c.earns(late) < best.loss-c.earns(best.late) {
+				best = found
+			}
 		}
 	}
-	if best == nil || (!c.guaranteed && best.loss > c.worth*maxLossShare) {
-		return false
+	return best
+}
+
+// inTime returns the rooms that are fast enough for the candidate's job once they have
+// been cleared; all rooms, if it may be late.
+func (p *pass) inTime(c *candidate, rooms []*room, late bool) []*room {
+	if late {
+		return rooms
+	}
+	most := safeSlack*c.slack - p.s.Limits.StopTime.Seconds()
+	var out []*room
+	for _, r := range rooms {
+		if p.seconds(c, p.pace(c, r)) <= most {
+			out = append(out, r)
+		}
 	}
-	for _, r := range best.rooms {
+	return out
+}
+
+func (p *pass) carryOut(c *candidate, found *clearing) {
+	for _, r := range found.rooms {
 		r.reserved = c.step
 	}
-	for _, v := range best.victims {
+	for _, v := range found.victims {
 		v.preempted++
 		p.s.stop(p.now, v, "preempted for job "+c.step.job.ID)
 	}
-	return true
 }
 
 // clearing is a set of targets and the runs to stop on them.
 type clearing struct {
 	rooms   []*room
 	victims []*unit
-	loss    float64
+	// loss is the credit that the stops cost.
+	loss float64
+	// late says that the job would be late there.
+	late bool
 }
 
 // clear finds the cheapest runs to stop in some rooms so that count members fit.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
@@ -48,6 +49,8 @@
 	Retention time.Duration
 	// CheckpointPeriod is the work between two checkpoints.
 	CheckpointPeriod time.Duration
+	// StopTime is how long a stop takes at most.
+	StopTime time.Duration
 }
 
 // Start is a run to be started once the writes of its step are durable.
@@ -289,14 +292,15 @@
 	}
 }
 
-// close notes that a member surely does not run.
+// close notes that a member surely does not run. Closing one member of a gang stops the
+// others, which may close them in turn, so it may be asked for again.
 func (s *Scheduler) close(now time.Time, m *member, reason string) {
 	u := m.unit
-	for i, held := range u.members {
-		if held == m {
-			u.members = append(u.members[:i:i], u.members[i+1:]...)
-		}
+	i := slices.Index(u.members, m)
+	if i < 0 {
+		return
 	}
+	u.members = slices.Concat(u.members[:i], u.members[i+1:])
 	delete(m.node.members, m.run())
 	m.node.used = m.node.used.Minus(u.step.shape.Counted())
 	s.dirty[u.step.job.ID] = u.step.job
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -215,3 +215,21 @@
 		t.Errorf("want 2 starts, have %v", starts)
 	}
 }
+
+// A gang whose start is withdrawn before it is durable gives its room back once.
+func TestWithdrawnGangGivesItsRoomBackOnce(t *testing.T) {
+	f := newFixture(t, 4)
+	gang := small(12)
+	gang.Gang, gang.Needs.MilliCores = true, 2000
+	f.submit("gang", "batch", gang)
+	if have := len(f.Step(f.now).Starts); have != 12 {
+		t.Fatalf("have %d starts, want 12", have)
+	}
+	f.Cancel(f.now, "gang")
+	wide := small(40)
+	wide.Needs.MilliCores = 2000
+	f.submit("wide", "batch", wide)
+	if have := len(f.begin()); have != 16 {
+		t.Errorf("have %d tasks of two cores started on four targets of eight, want 16", have)
+	}
+}
