--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -17,7 +17,7 @@
 	// same unit, so that one is not stopped again and again.
 	stopCredit = 0.1
 	// maxLossShare of a job's worth may be lost to others when room is made for it.
-	maxLossShare = 0.5
+	maxLossShare = 0.8
 	// likely is the risk from which a job counts as late.
 	likely = 0.5
 )
