--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -15,6 +15,7 @@
 
 const (
 	answerTime  = 2 * time.Millisecond
+	lookPeriod  = 20 * time.Millisecond
 	callTimeout = 700 * time.Millisecond
 	maxLease    = 6 * time.Second
 	// cancelTime is how long after its cancellation a job's tasks may still be started.
@@ -27,6 +28,8 @@
 	Attempts int
 	// Fails tells whether a run fails by its own fault.
 	Fails func(target.Run) bool
+	// SlowClocks is by how much the targets' clocks are slow: 0.02 at most.
+	SlowClocks float64
 
 	mu        sync.Mutex
 	machines  map[string]*machine
@@ -44,6 +47,7 @@
 type machine struct {
 	listing  target.Listing
 	started  time.Time
+	slow     float64
 	fence    int64
 	deadline time.Duration
 	running  map[target.Task]*run
@@ -77,7 +81,7 @@
 		f.noted = map[target.Task]bool{}
 	}
 	f.machines[listing.ID] = &machine{
-		listing: listing, started: time.Now(), running: map[target.Task]*run{}, highest: map[target.Task]int{}, next: 1,
+		listing: listing, started: time.Now(), running: map[target.Task]*run{}, highest: map[target.Task]int{}, next: 1, slow: f.SlowClocks,
 	}
 }
 
@@ -116,6 +120,13 @@
 	return append([]string(nil), f.broken...)
 }
 
+// Clock reads a target's clock.
+func (f *Fleet) Clock(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machines[id].clock()
+}
+
 // Done reports whether a run of the task has ended done.
 func (f *Fleet) Done(task target.Task) bool {
 	f.mu.Lock()
@@ -127,7 +138,15 @@
 	f.broken = append(f.broken, fmt.Sprintf(format, args...))
 }
 
-func (m *machine) clock() time.Duration { return time.Since(m.started) }
+// clock is the target's own, which may be slow.
+func (m *machine) clock() time.Duration {
+	return time.Duration(float64(time.Since(m.started)) * (1 - m.slow))
+}
+
+// lapse is when the lease runs out.
+func (m *machine) lapse() time.Time {
+	return m.started.Add(time.Duration(float64(m.deadline) / (1 - m.slow)))
+}
 
 // settle ends what has ended by now. The lock is held.
 func (f *Fleet) settle(m *machine) {
@@ -137,13 +156,13 @@
 	}
 	sort.Slice(tasks, func(i, j int) bool { return fmt.Sprint(tasks[i]) < fmt.Sprint(tasks[j]) })
 	now := time.Now()
-	if lapse := m.started.Add(m.deadline); lapse.Before(now) {
+	if lapse := m.lapse(); lapse.Before(now) {
 		m.lapsed = lapse
 	}
 	for _, task := range tasks {
 		r := m.running[task]
 		end := r.begun.Add(r.work)
-		lapse := m.started.Add(m.deadline)
+		lapse := m.lapse()
 		switch {
 		case !end.After(now) && !end.After(lapse):
 			how := target.Done
@@ -340,6 +359,9 @@
 	m.fence = order.Fence
 	m.deadline = max(m.deadline, min(order.Deadline, m.clock()+maxLease))
 	f.acknowledge(m, order.Acknowledged)
+	if f.await(ctx, m, order.Wait); ctx.Err() != nil {
+		return target.Report{}, target.Reply{Answer: target.Unanswered}
+	}
 	report := target.Report{Born: m.listing.Born, Clock: m.clock()}
 	for _, end := range m.ends {
 		report.Ended = append(report.Ended, end.Ended)
@@ -351,6 +373,22 @@
 	return report, target.Reply{Answer: target.Accepted, Clock: m.clock()}
 }
 
+// await holds an answer back until a run has ended. The lock is held, but for the time between two looks.
+func (f *Fleet) await(ctx context.Context, m *machine, wait time.Duration) {
+	until := time.Now().Add(wait)
+	for len(m.ends) == 0 && time.Now().Before(until) && ctx.Err() == nil {
+		f.mu.Unlock()
+		timer := time.NewTimer(lookPeriod)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+		f.mu.Lock()
+		f.settle(m)
+	}
+}
+
 // acknowledge forgets ends. A task that was started again after an end `done` that is
 // acknowledged now has run twice, unless the lease ran out between the two.
 func (f *Fleet) acknowledge(m *machine, upTo int64) {
--- /dev/null
+++ b/test/soak/host.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/platform"
+	"github.com/eelgrasstide/eelgrasstide/platform/platformtest"
+)
+
+// host is an entry host: one process of the real program and its link to the store.
+type host struct {
+	platformtest.Host
+	store *proxy
+	dir   string
+	bin   string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	starts  int
+	frozen  bool
+	// disturbed is the end of the last disturbance other than a SIGTERM, stopping when
+	// the last SIGTERM was sent.
+	disturbed, stopping time.Time
+	// version is the highest configuration that this incarnation was seen to use.
+	version int64
+}
+
+// freeAddress asks the kernel for a free port.
+func freeAddress() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+func newHost(name, zone, bin, dir string, store netip.AddrPort) (*host, error) {
+	link, err := newProxy(store)
+	if err != nil {
+		return nil, err
+	}
+	h := &host{store: link, dir: dir, bin: bin}
+	h.Host = platformtest.Host{Name: name, Zone: zone, Store: link.address, Grace: grace, TaskLease: taskLease}
+	for _, into := range []*netip.AddrPort{&h.Callers, &h.Ready, &h.Hosts} {
+		if *into, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return h, os.WriteFile(h.file(), h.Settings(), 0o600)
+}
+
+func (h *host) file() string { return filepath.Join(h.dir, h.Name+".conf") }
+
+// start runs the process; its log goes to a file of its own.
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.starts++
+	output, err := os.Create(filepath.Join(h.dir, fmt.Sprintf("%s.%d.log", h.Name, h.starts)))
+	if err != nil {
+		return err
+	}
+	h.command = exec.Command(filepath.Join(h.bin, "eelgrasstide"), "front")
+	h.command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.file())
+	h.command.Stdout, h.command.Stderr = output, output
+	if err := h.command.Start(); err != nil {
+		return err
+	}
+	h.version, h.frozen, h.disturbed = 0, false, time.Now()
+	ended := make(chan struct{})
+	h.ended = ended
+	command := h.command
+	go func() {
+		defer close(ended)
+		defer output.Close()
+		if err := command.Wait(); err != nil {
+			fmt.Fprintf(output, "soak: the process ended: %v\n", err)
+		}
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that this soak started.
+func (h *host) signal(signal syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.ended:
+	default:
+		if err := h.command.Process.Signal(signal); err != nil {
+			fmt.Fprintf(os.Stderr, "soak: %s: %v\n", h.Name, err)
+		}
+	}
+}
+
+func (h *host) disturb() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbed = time.Now()
+}
+
+// calm reports whether the host was left alone, planned stops included, for a while.
+func (h *host) calm(since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.frozen && h.disturbed.Before(since) && h.stopping.Before(since)
+}
+
+// kill ends the process and starts it again after a while.
+func (h *host) kill(pause time.Duration) error {
+	h.signal(syscall.SIGKILL)
+	<-h.ended
+	time.Sleep(pause)
+	return h.start()
+}
+
+// stop asks for a graceful stop, kills what is left after the grace, and starts again.
+// It reports whether the process ended in time.
+func (h *host) stop() (inTime bool, err error) {
+	h.mu.Lock()
+	h.stopping = time.Now()
+	ended := h.ended
+	h.mu.Unlock()
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+		inTime = true
+	case <-time.After(grace):
+		h.signal(syscall.SIGKILL)
+		<-ended
+	}
+	return inTime, h.start()
+}
+
+// freeze suspends the process for a while.
+func (h *host) freeze(pause time.Duration) {
+	h.mu.Lock()
+	h.frozen = true
+	h.mu.Unlock()
+	h.signal(syscall.SIGSTOP)
+	time.Sleep(pause)
+	h.signal(syscall.SIGCONT)
+	h.mu.Lock()
+	h.frozen, h.disturbed = false, time.Now()
+	h.mu.Unlock()
+}
+
+func (h *host) isReady(client *http.Client) bool {
+	response, err := client.Get("http://" + h.Ready.String() + "/v1/readiness")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
