--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,7 +25,7 @@
 	// attemptTime bounds one write, so that a lost answer is found out by another.
 	attemptTime = 600 * time.Millisecond
 	// writeTime bounds all attempts: a caller is better told to come back.
-	writeTime = 1500 * time.Millisecond
+	writeTime = 1200 * time.Millisecond
 	// refusedTime bounds the attempts while the store only refuses.
 	refusedTime = 300 * time.Millisecond
 	retryFirst  = 20 * time.Millisecond
