A fault soak over real processes, with the platform's wire on the other side

Change: test/soak runs entry hosts as processes against stand-ins that speak the platform's wire (platform/platformtest), through loopback links that delay, reset, cut one way or go silent; hosts are killed, frozen, stopped and sent SIGHUP, targets restart, carry orders out late and have clocks 2% slow, the store is down, busy, loses answers, writes late and forgets its history. It checks at most once, order, budget, unasked and refused starts, lost and falsely ended jobs, requests cut by planned stops, and configuration in time and never back. The stand-in targets hold renewals until a run ends. One write a probe pause is tried for 600 ms instead of 1.2 s while the store takes none.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 
-.PHONY: build demo test prove measure capacity lint format generate
+.PHONY: build demo test prove measure capacity lint format generate soak soak-short
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -25,3 +25,11 @@
 
 capacity: build
 	go run ./test/measure capacity $(BIN) $(SEED)
+
+soak: build
+	go build -o $(BIN)/soak ./test/soak
+	$(BIN)/soak -bin $(BIN) -seed $(or $(SEED),1) -count $(or $(COUNT),1) -beside $(or $(BESIDE),1) -keep $(BIN)/soak-logs
+
+soak-short: build
+	go build -o $(BIN)/soak ./test/soak
+	$(BIN)/soak -bin $(BIN) -count 0 -seeds test/soak/seeds.txt -for 8s -beside 2 -keep $(BIN)/soak-logs
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -16,18 +16,19 @@
 	probed time.Time
 }
 
-// enter reports whether a write may be tried.
-func (g *gate) enter(now time.Time) bool {
+// enter returns for how long a write may be tried; not at all while the store takes none,
+// and for one attempt by the one that tries.
+func (g *gate) enter(now time.Time) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.closed {
-		return true
+		return writeTime
 	}
 	if now.Sub(g.probed) < probePause {
-		return false
+		return 0
 	}
 	g.probed = now
-	return true
+	return attemptTime
 }
 
 // note records whether the store answered a write.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -108,10 +108,11 @@
 // create writes a key that is absent, and reports whether it was there already. The
 // error is Unavailable only if no attempt may have taken effect.
 func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
-	if !i.gate.enter(time.Now()) {
+	allowed := i.gate.enter(time.Now())
+	if allowed == 0 {
 		return false, fault.Unavailable.New(remedyStore, "Intake.create: the store takes no writes at present")
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	ctx, cancel := context.WithTimeout(ctx, allowed)
 	defer cancel()
 	refusedBy := time.Now().Add(refusedTime)
 	ambiguous := false
