Calls that wait for the store are answered before a planned stop ends; fast links plan first

On the grown site the planner sat on a host with 10 Mbit/s, which the reports of 350 targets fill. Change: calls' contexts end at 0.8 of the grace; hosts with less than 100 Mbit/s compete 250 ms later, as do those with a small share of a core.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,8 +37,10 @@
 	// unreadyPart is the part of the stop's grace in which calls are still taken, as the
 	// balancer needs two looks to notice that this host is not ready.
 	unreadyPart = 0.6
-	// lastPart is the part of the grace after which connections are closed.
-	lastPart = 0.9
+	// answerPart is the part of the grace after which calls that still wait are answered as
+	// they stand, and lastPart that after which connections are closed.
+	answerPart = 0.8
+	lastPart   = 0.9
 )
 
 // Entry is a host of batch queues. Set the exported fields before Run.
@@ -94,7 +96,9 @@
 	if err := e.Settings.Validate(); err != nil {
 		return err
 	}
-	servers, failures, err := e.listen()
+	calls, answer := context.WithCancel(context.WithoutCancel(ctx))
+	defer answer()
+	servers, failures, err := e.listen(calls)
 	if err != nil {
 		return err
 	}
@@ -108,7 +112,7 @@
 	case err := <-failures:
 		return err
 	}
-	e.stop(servers)
+	e.stop(servers, answer)
 	for end := range planning {
 		e.Log.WithField("part", end.Name).WithField("cause", end.Err).Info("entry: part ended")
 	}
@@ -136,7 +140,8 @@
 	return time.Duration(now.Nano())
 }
 
-func (e *Entry) listen() ([]*http.Server, <-chan error, error) {
+// listen serves all addresses. The calls' contexts end with calls.
+func (e *Entry) listen(calls context.Context) ([]*http.Server, <-chan error, error) {
 	failures := make(chan error, 3)
 	var servers []*http.Server
 	for _, l := range []Listener{e.Callers, e.Ready, e.Hosts} {
@@ -147,7 +152,10 @@
 		if err != nil {
 			return nil, nil, fault.Invalid.New("set the address to a free one of this host", "Entry.listen: %v", err)
 		}
-		server := &http.Server{Handler: l.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server := &http.Server{
+			Handler: l.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			BaseContext: func(net.Listener) context.Context { return calls },
+		}
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -158,10 +166,13 @@
 	return servers, failures, nil
 }
 
-func (e *Entry) stop(servers []*http.Server) {
+// stop takes calls until the balancer has surely noticed, and ends those that still wait
+// for the store in time for their answers to arrive.
+func (e *Entry) stop(servers []*http.Server, answer context.CancelFunc) {
 	e.stopping.Store(true)
 	e.Log.Info("entry: stopping, not ready")
 	grace := e.Settings.StopGrace
+	defer time.AfterFunc(time.Duration(float64(grace)*answerPart), answer).Stop()
 	time.Sleep(time.Duration(float64(grace) * unreadyPart))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(float64(grace)*(lastPart-unreadyPart)))
 	defer cancel()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -11,10 +11,12 @@
 const (
 	// maxTaskLease bounds how long the tasks of a target that is lost keep others waiting.
 	maxTaskLease = 10 * time.Second
-	// weakProcessor is the share of a core below which a host lets others plan.
+	// weakProcessor is the share of a core, and weakLink the speed of the link, below which
+	// a host lets others plan: the reports of hundreds of targets take 10 Mbit/s.
 	weakProcessor = 0.4
-	// weakDelay is how much later a weak host competes.
-	weakDelay = 500 * time.Millisecond
+	weakLink      = 100
+	// delayStep is how much later a host competes for each respect in which it is weak.
+	delayStep = 250 * time.Millisecond
 )
 
 // Settings is what a host of batch queues is told at its start.
@@ -23,7 +25,9 @@
 	Zone string
 	// Processor is the host's share of a core.
 	Processor float64
-	MemoryMB  int64
+	// LinkMbps is the speed of its link in Mbit/s; 0 when it is not known.
+	LinkMbps float64
+	MemoryMB int64
 	// MaxTaskLease is the longest lease that targets grant.
 	MaxTaskLease time.Duration
 	// StopGrace is the time from the signal to stop to the kill.
@@ -54,9 +58,13 @@
 	}
 }
 
+// delay is how much later than the best suited hosts this one competes for the term.
 func (s *Settings) delay() time.Duration {
-	if s.Processor > 0 && s.Processor < weakProcessor {
-		return weakDelay
+	delay := time.Duration(0)
+	for _, weak := range []bool{s.Processor > 0 && s.Processor < weakProcessor, s.LinkMbps > 0 && s.LinkMbps < weakLink} {
+		if weak {
+			delay += delayStep
+		}
 	}
-	return 0
+	return delay
 }
