--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -16,6 +16,8 @@
 	// quietAfter is how long after an unanswered renewal a target's lease is no longer
 	// prolonged, and it is given no new work.
 	quietAfter = 1400 * time.Millisecond
+	// drainingLease is the lease of a target that is about to leave.
+	drainingLease = 3500 * time.Millisecond
 	// refusalPause keeps new work from a target that refused some.
 	refusalPause = 300 * time.Millisecond
 	// blamePause keeps new work from a target after a run failed there; it doubles with each failure in a row.
@@ -130,7 +132,12 @@
 		// runs could not be started elsewhere while it might have got it.
 		return n.granted
 	}
-	deadline := n.clock + now.Sub(n.clockAt) + s.Limits.TaskLease
+	lease := s.Limits.TaskLease
+	if n.Draining {
+		// It leaves without a word, and its runs can be started elsewhere only after its lease.
+		lease = min(lease, drainingLease)
+	}
+	deadline := n.clock + now.Sub(n.clockAt) + lease
 	n.granted = max(n.granted, deadline)
 	return deadline
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -233,3 +233,45 @@
 		t.Errorf("have %d tasks of two cores started on four targets of eight, want 16", have)
 	}
 }
+
+// A target that leaves keeps its runs from starting elsewhere for a short lease only.
+func TestRunsOfATargetThatLeavesAreStartedElsewhereSoon(t *testing.T) {
+	f := newFixture(t, 2)
+	f.submit("a", "batch", small(1))
+	starts := f.begin()
+	if len(starts) != 1 {
+		t.Fatalf("have %d starts, want 1", len(starts))
+	}
+	left := 0
+	if starts[0].Target == "t1" {
+		left = 1
+	}
+	leaving := f.listing(left)
+	leaving.Draining = true
+	f.Listed(f.now, leaving)
+	for range 8 {
+		f.after(time.Second)
+		f.Deadline(f.now, leaving.ID)
+		f.report(left, target.Report{Running: []target.Running{{Run: starts[0].Run, Percent: 10}}})
+		f.report(1-left, target.Report{})
+		f.Step(f.now)
+	}
+	f.Unlisted(f.now, leaving.ID)
+	f.after(3 * time.Second)
+	if have := f.begin(); len(have) > 0 {
+		t.Errorf("have %v while the lease may last", have)
+	}
+	f.after(time.Second)
+	f.report(1-left, target.Report{})
+	f.begin()
+	f.after(time.Second)
+	f.report(1-left, target.Report{})
+	if f.begin(); !f.runsOn(1-left, "a") {
+		t.Error("the task was not started on the other target within 5s")
+	}
+}
+
+// runsOn reports whether a job's run is expected on a target.
+func (f *fixture) runsOn(i int, job string) bool {
+	return f.Attention(f.now, fmt.Sprintf("t%d", i)).Runs && f.Known(job)
+}
