A host that reaches neither the store nor another zone is not ready

Readiness must not follow the store: in an outage all are alike. Change: while the store does not answer, some hosts of other zones are asked each 300 ms; a host that gets no answer twice is not ready. Calls to the store go through other zones first.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -62,9 +62,9 @@
 	registry := metrics.NewRegistry()
 	direct := &platform.Store{Address: settings.Store, Client: client}
 	hosts := &roster.Roster{Store: direct, Name: settings.Entry.Name, Zone: settings.Entry.Zone, Address: settings.Hosts, Log: log.Log}
-	store := &relay.Relay{Direct: direct, Peers: hosts.Peers, Client: client, Metrics: registry, Log: log.Log}
+	store := &relay.Relay{Direct: direct, Peers: hosts.Peers, Distant: hosts.Distant, Client: client, Metrics: registry, Log: log.Log}
 	e := &entry.Entry{
-		Settings: settings.Entry, Store: store, Targets: &platform.Targets{Client: client}, Roster: hosts,
+		Settings: settings.Entry, Store: store, Targets: &platform.Targets{Client: client}, Roster: hosts, Relay: store,
 		Registry: registry, Log: log.Log,
 		Source: entry.Source{
 			OperatorPrefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, ReadCatalogue: platform.ReadCatalogue,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/fault"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
@@ -57,6 +58,8 @@
 	Hosts   Listener
 	// Roster finds the other hosts.
 	Roster *roster.Roster
+	// Relay, if set, is the store's way through other hosts.
+	Relay *relay.Relay
 	// Intake is used by the callers' handler.
 	Intake   *intake.Intake
 	Registry metrics.Registry
@@ -87,8 +90,11 @@
 // Stopping reports whether the host is about to stop.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
 
-// IsReady reports whether new connections are welcome.
-func (e *Entry) IsReady() bool { return e.Catalogue() != nil && !e.Stopping() }
+// IsReady reports whether new connections are welcome. An outage of the store leaves all
+// hosts ready, as it is the same on each; a host that is cut off alone is not.
+func (e *Entry) IsReady() bool {
+	return e.Catalogue() != nil && !e.Stopping() && (e.Relay == nil || !e.Relay.Isolated())
+}
 
 // Run serves until ctx ends, then stops gracefully: the term is given back at once,
 // calls are taken until the balancer has surely noticed, and those in flight finish.
@@ -105,7 +111,11 @@
 	e.Log.WithFields(log.Fields{"name": e.Settings.Name, "zone": e.Settings.Zone, "callers": e.Callers.Address.String()}).Info("entry: started")
 	loops, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	ends := background.Start(loops, background.Task{Name: "configuration", Run: e.follow}, background.Task{Name: "roster", Run: e.Roster.Run})
+	tasks := []background.Task{{Name: "configuration", Run: e.follow}, {Name: "roster", Run: e.Roster.Run}}
+	if e.Relay != nil {
+		tasks = append(tasks, background.Task{Name: "relay", Run: e.Relay.Run})
+	}
+	ends := background.Start(loops, tasks...)
 	planning := background.Start(ctx, background.Task{Name: "term", Run: e.newTerm().Run})
 	select {
 	case <-ctx.Done():
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,12 @@
 	// peersPause keeps calls from peers after they could not help either.
 	peersPause = 400 * time.Millisecond
 	peerTries  = 2
+	// While the store does not answer, some hosts of other zones are asked each lookPeriod;
+	// isolatedAfter is the number of looks, one after the other, that none answered.
+	lookPeriod    = 300 * time.Millisecond
+	lookTimeout   = 300 * time.Millisecond
+	looks         = 3
+	isolatedAfter = 2
 	// callTimeout bounds a call through a peer; a watch may take its wait besides.
 	callTimeout = 1200 * time.Millisecond
 	remedy      = "wait until the platform's store answers; see docs/operators/store-outage.md"
@@ -38,7 +45,9 @@
 type Relay struct {
 	Direct keyvalue.Service
 	// Peers returns the addresses of the other hosts.
-	Peers   func() []netip.AddrPort
+	Peers func() []netip.AddrPort
+	// Distant reports whether a host is in another availability zone; nil for none.
+	Distant func(netip.AddrPort) bool
 	Client  *http.Client
 	Metrics metrics.Registry
 	Log     log.Interface
@@ -47,6 +56,8 @@
 	failures   int
 	tryDirect  time.Time
 	peersAgain time.Time
+	// silent counts looks that no host of another availability zone answered.
+	silent int
 }
 
 var _ keyvalue.Service = (*Relay)(nil)
@@ -58,6 +69,15 @@
 	return r.failures >= failuresToDetour
 }
 
+// Isolated reports whether this host reaches neither the store nor any host of another
+// availability zone: callers are then better served elsewhere. In an outage of the store
+// the others do answer, and no host counts as isolated.
+func (r *Relay) Isolated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures > 0 && r.silent >= isolatedAfter
+}
+
 // direct reports whether the next call goes to the store itself.
 func (r *Relay) direct(now time.Time) bool {
 	r.mu.Lock()
@@ -81,7 +101,7 @@
 		if r.failures >= failuresToDetour {
 			r.Log.Info("relay: the store answers this host again")
 		}
-		r.failures = 0
+		r.failures, r.silent = 0, 0
 	case fault.Invalid.Is(err):
 	default:
 		r.failures++
@@ -123,20 +143,84 @@
 	return none, err
 }
 
-// pick chooses the peers to try.
-func (r *Relay) pick(now time.Time) []keyvalue.Service {
+// Run looks for hosts of other availability zones while the store does not answer, until
+// ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lookPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			r.look(ctx)
+		}
+	}
+}
+
+// look asks some hosts of other zones for any answer.
+func (r *Relay) look(ctx context.Context) {
+	r.mu.Lock()
+	failures := r.failures
+	r.mu.Unlock()
+	peers := slices.DeleteFunc(r.shuffled(), func(p *peer) bool { return !p.distant })
+	if failures == 0 || len(peers) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	answers := make(chan bool, looks)
+	asked := peers[:min(len(peers), looks)]
+	for _, p := range asked {
+		go func() { answers <- p.alive(ctx) }()
+	}
+	answered := false
+	for range asked {
+		answered = <-answers || answered
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		r.silent = 0
+		return
+	}
+	r.silent++
+	if r.silent == isolatedAfter {
+		r.Log.WithField("asked", len(asked)).WithField("failures", r.failures).Warn("relay: this host reaches neither the store nor another zone")
+	}
+}
+
+// pick chooses the peers to try, those of other availability zones first: a cut between
+// zones leaves a host and its neighbours on the same side.
+func (r *Relay) pick(now time.Time) []*peer {
 	r.mu.Lock()
 	again := r.peersAgain
 	r.mu.Unlock()
 	if now.Before(again) {
 		return nil
 	}
-	peers := r.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var out []keyvalue.Service
-	for _, address := range peers[:min(len(peers), peerTries)] {
-		out = append(out, &peer{client: wire.NewStoreRelayProtobufClient("http://"+address.String(), r.Client)})
+	out := r.shuffled()
+	slices.SortStableFunc(out, func(a, b *peer) int {
+		switch {
+		case a.distant == b.distant:
+			return 0
+		case a.distant:
+			return -1
+		}
+		return 1
+	})
+	return out[:min(len(out), peerTries)]
+}
+
+// shuffled returns all peers in a random order.
+func (r *Relay) shuffled() []*peer {
+	var out []*peer
+	for _, address := range r.Peers() {
+		out = append(out, &peer{
+			client: wire.NewStoreRelayProtobufClient("http://"+address.String(), r.Client), distant: r.Distant != nil && r.Distant(address),
+		})
 	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
 }
 
@@ -194,13 +278,26 @@
 
 // peer is the store as another host reaches it.
 type peer struct {
-	client wire.StoreRelay
+	client  wire.StoreRelay
+	distant bool
+}
+
+// alive reports whether the host answers at all, be it with a refusal.
+func (p *peer) alive(ctx context.Context) bool {
+	_, err := p.client.Lease(ctx, &wire.RelayLease{})
+	return err == nil || ownAnswer(err)
+}
+
+// ownAnswer reports whether an error is the answer of the host itself.
+func ownAnswer(err error) bool {
+	var typed twirp.Error
+	return errors.As(err, &typed) && (typed.Code() == twirp.Unavailable || typed.Code() == twirp.Unknown) && typed.Meta("http_error_from_intermediary") == ""
 }
 
 // said turns the answer of a peer into an error of this host.
 func said(err error) error {
 	var typed twirp.Error
-	if errors.As(err, &typed) && typed.Code() == twirp.Unavailable && typed.Meta("http_error_from_intermediary") == "" {
+	if errors.As(err, &typed) && typed.Code() == twirp.Unavailable && ownAnswer(err) {
 		return fault.Unavailable.New(remedy, "relay.peer: %v", err)
 	}
 	return fault.Ambiguous.New(remedy, "relay.peer: %v", err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -104,3 +107,61 @@
 		t.Errorf("the second host tried %d times for another", away.calls.Load()-before)
 	}
 }
+
+// between carries calls to one other host, or to none.
+type between struct{ to http.Handler }
+
+func (b between) RoundTrip(r *http.Request) (*http.Response, error) {
+	if b.to == nil {
+		return nil, errors.New("no route to host")
+	}
+	recorder := httptest.NewRecorder()
+	b.to.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// A host that reaches neither the store nor another zone counts as isolated; one whose
+// neighbours in other zones answer that the store is out for them too does not.
+func TestIsolation(t *testing.T) {
+	cases := []struct {
+		name    string
+		answers bool
+		distant bool
+		want    bool
+	}{
+		{"the other zone answers", true, true, false},
+		{"the other zone is out of reach", false, true, true},
+		{"only the own zone is out of reach", false, false, false},
+	}
+	for _, test := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			away := &gated{Service: &batchstore.Store{}}
+			away.refuse.Store(true)
+			host := newRelay(away, netip.MustParseAddrPort("10.0.0.2:1"))
+			host.Distant = func(netip.AddrPort) bool { return test.distant }
+			if test.answers {
+				host.Client.Transport = between{newRelay(away).Handler()}
+			} else {
+				host.Client.Transport = between{}
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan error)
+			go func() { ended <- host.Run(ctx) }()
+			for range 3 {
+				if _, err := host.Commit(context.Background(), write("a")); err == nil {
+					t.Fatalf("%s: a write was taken", test.name)
+				}
+				time.Sleep(time.Second)
+			}
+			if have := host.Isolated(); have != test.want {
+				t.Errorf("%s: have isolated %v, want %v", test.name, have, test.want)
+			}
+			away.refuse.Store(false)
+			if _, err := host.Commit(context.Background(), write("b")); err != nil || host.Isolated() {
+				t.Errorf("%s: have %v, isolated %v once the store answers", test.name, err, host.Isolated())
+			}
+			stop()
+			<-ended
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,6 +34,8 @@
 	lease int64
 	mu    sync.Mutex
 	peers []netip.AddrPort
+	// distant are the peers of other availability zones.
+	distant map[netip.AddrPort]bool
 }
 
 // Peers returns the addresses of the other hosts, as last known.
@@ -43,6 +45,13 @@
 	return append([]netip.AddrPort(nil), r.peers...)
 }
 
+// Distant reports whether a host is known to be in another availability zone.
+func (r *Roster) Distant(address netip.AddrPort) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.distant[address]
+}
+
 // Run keeps the list until ctx ends.
 func (r *Roster) Run(ctx context.Context) error {
 	wait := firstPeriod
@@ -93,6 +102,7 @@
 		return err
 	}
 	var peers []netip.AddrPort
+	distant := map[netip.AddrPort]bool{}
 	for _, item := range items {
 		record := &wire.HostRecord{}
 		if err := ledger.Read(item.Value, record); err != nil {
@@ -104,9 +114,10 @@
 			continue
 		}
 		peers = append(peers, address)
+		distant[address] = record.GetZone() != r.Zone
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers = peers
+	r.peers, r.distant = peers, distant
 	return nil
 }
