--- a/cmd/eelgrasstide/main.go
+++ b/cmd/eelgrasstide/main.go
@@ -60,7 +60,7 @@
 func commands() []command {
 	return []command{
 		serveCommand, frontCommand, checkCommand, applyCommand, configShowCommand, configDiffCommand, configHistoryCommand, configWaitCommand,
-		submitCommand, statusCommand, cancelCommand, explainCommand, hostsCommand, targetsCommand, organisationsCommand, versionCommand,
+		submitCommand, statusCommand, cancelCommand, explainCommand, reportCommand, hostsCommand, targetsCommand, organisationsCommand, versionCommand,
 	}
 }
 
