--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -192,11 +192,18 @@
 		held bool
 		name string
 	}{
-		{s.Gang, "gang"}, {s.SameRack, "one rack"}, {s.Checkpointing, "checkpoints"}, {s.AllowDuplicates, "duplicates"},
-		{s.LongRunning, "long-running"}, {s.Fills, "fills"}, {s.RequiredLabel != "", "label " + s.RequiredLabel},
-		{s.DataRack != "", "data in " + s.DataRack}, {s.Image != "", "image " + s.Image},
+		{s.Gang, "gang"},
+		{s.SameRack, "one rack"},
+		{s.Checkpointing, "checkpoints"},
+		{s.AllowDuplicates, "duplicates"},
+		{s.LongRunning, "long-running"},
+		{s.Fills, "fills"},
+		{s.RequiredLabel != "", "label " + s.RequiredLabel},
+		{s.DataRack != "", "data in " + s.DataRack},
+		{s.Image != "", "image " + s.Image},
 		{s.MaxPerTarget > 0, fmt.Sprintf("at most %d on a target", s.MaxPerTarget)},
-		{s.MaxUnavailable > 0, fmt.Sprintf("at most %d unavailable", s.MaxUnavailable)}, {len(s.After) > 0, fmt.Sprintf("after %v", s.After)},
+		{s.MaxUnavailable > 0, fmt.Sprintf("at most %d unavailable", s.MaxUnavailable)},
+		{len(s.After) > 0, fmt.Sprintf("after %v", s.After)},
 	} {
 		if trait.held {
 			text += ", " + trait.name
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -155,12 +154,3 @@
 	h.frozen, h.disturbed = false, time.Now()
 	h.mu.Unlock()
 }
-
-func (h *host) isReady(client *http.Client) bool {
-	response, err := client.Get("http://" + h.Ready.String() + "/v1/readiness")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
@@ -211,7 +212,7 @@
 func (w *world) close() {
 	for _, h := range w.hosts {
 		if h.command != nil && h.command.Process != nil {
-			h.command.Process.Kill()
+			h.signal(syscall.SIGKILL)
 			<-h.ended
 		}
 	}
