--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -18,6 +18,9 @@
 	stopCredit = 0.1
 	// maxLossShare of a job's worth may be lost to others when room is made for it.
 	maxLossShare = 0.8
+	// reclaimPatience is how long a job that a guarantee covers waits before it stops runs
+	// that are worth more than itself.
+	reclaimPatience = 700 * time.Millisecond
 	// likely is the risk from which a job counts as late.
 	likely = 0.5
 )
@@ -121,10 +124,18 @@
 }
 
 // preempt stops less important runs so that a candidate of the first priority fits, if
-// what is lost is worth it. It reports whether room is kept for the candidate.
+// what is lost is worth it or a guarantee asks for it. It reports whether room is kept.
 func (p *pass) preempt(c *candidate) bool {
 	best := p.clearing(c)
-	if best == nil || (!c.guaranteed && best.loss > c.earns(best.late)*maxLossShare) {
+	if best == nil {
+		return false
+	}
+	// A guarantee is met in any case, but a costly stop waits a moment for room to come free.
+	claims := c.guaranteed && p.now.Sub(c.step.occurrence.due) >= reclaimPatience
+	if !claims && best.loss > c.earns(best.late)*maxLossShare {
+		if c.guaranteed {
+			p.s.wakeAt(c.step.occurrence.due.Add(reclaimPatience))
+		}
 		return false
 	}
 	p.carryOut(c, best)
