--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -14,8 +13,6 @@
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
-	"github.com/twitchtv/twirp"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/fault"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
@@ -30,12 +27,6 @@
 	// peersPause keeps calls from peers after they could not help either.
 	peersPause = 400 * time.Millisecond
 	peerTries  = 2
-	// While the store does not answer, some hosts of other zones are asked each lookPeriod;
-	// isolatedAfter is the number of looks, one after the other, that none answered.
-	lookPeriod    = 300 * time.Millisecond
-	lookTimeout   = 300 * time.Millisecond
-	looks         = 3
-	isolatedAfter = 2
 	// callTimeout bounds a call through a peer; a watch may take its wait besides.
 	callTimeout = 1200 * time.Millisecond
 	remedy      = "wait until the platform's store answers; see docs/operators/store-outage.md"
@@ -69,15 +60,6 @@
 	return r.failures >= failuresToDetour
 }
 
-// Isolated reports whether this host reaches neither the store nor any host of another
-// availability zone: callers are then better served elsewhere. In an outage of the store
-// the others do answer, and no host counts as isolated.
-func (r *Relay) Isolated() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.failures > 0 && r.silent >= isolatedAfter
-}
-
 // direct reports whether the next call goes to the store itself.
 func (r *Relay) direct(now time.Time) bool {
 	r.mu.Lock()
@@ -143,53 +125,6 @@
 	return none, err
 }
 
-// Run looks for hosts of other availability zones while the store does not answer, until
-// ctx ends.
-func (r *Relay) Run(ctx context.Context) error {
-	ticker := time.NewTicker(lookPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			r.look(ctx)
-		}
-	}
-}
-
-// look asks some hosts of other zones for any answer.
-func (r *Relay) look(ctx context.Context) {
-	r.mu.Lock()
-	failures := r.failures
-	r.mu.Unlock()
-	peers := slices.DeleteFunc(r.shuffled(), func(p *peer) bool { return !p.distant })
-	if failures == 0 || len(peers) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
-	defer cancel()
-	answers := make(chan bool, looks)
-	asked := peers[:min(len(peers), looks)]
-	for _, p := range asked {
-		go func() { answers <- p.alive(ctx) }()
-	}
-	answered := false
-	for range asked {
-		answered = <-answers || answered
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if answered {
-		r.silent = 0
-		return
-	}
-	r.silent++
-	if r.silent == isolatedAfter {
-		r.Log.WithField("asked", len(asked)).WithField("failures", r.failures).Warn("relay: this host reaches neither the store nor another zone")
-	}
-}
-
 // pick chooses the peers to try, those of other availability zones first: a cut between
 // zones leaves a host and its neighbours on the same side.
 func (r *Relay) pick(now time.Time) []*peer {
@@ -275,113 +210,3 @@
 	_, err := do(ctx, r, func(ctx context.Context, by keyvalue.Service) (bool, error) { return true, by.Revoke(ctx, lease) })
 	return err
 }
-
-// peer is the store as another host reaches it.
-type peer struct {
-	client  wire.StoreRelay
-	distant bool
-}
-
-// alive reports whether the host answers at all, be it with a refusal.
-func (p *peer) alive(ctx context.Context) bool {
-	_, err := p.client.Lease(ctx, &wire.RelayLease{})
-	return err == nil || ownAnswer(err)
-}
-
-// ownAnswer reports whether an error is the answer of the host itself.
-func ownAnswer(err error) bool {
-	var typed twirp.Error
-	return errors.As(err, &typed) && (typed.Code() == twirp.Unavailable || typed.Code() == twirp.Unknown) && typed.Meta("http_error_from_intermediary") == ""
-}
-
-// said turns the answer of a peer into an error of this host.
-func said(err error) error {
-	var typed twirp.Error
-	if errors.As(err, &typed) && typed.Code() == twirp.Unavailable && ownAnswer(err) {
-		return fault.Unavailable.New(remedy, "relay.peer: %v", err)
-	}
-	return fault.Ambiguous.New(remedy, "relay.peer: %v", err)
-}
-
-func (p *peer) read(ctx context.Context, request *wire.RelayRead) (*wire.RelayItems, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	found, err := p.client.Read(ctx, request)
-	if err != nil {
-		// A read has no effect, so another peer may be asked.
-		return nil, fault.Unavailable.New(remedy, "relay.peer: %v", err)
-	}
-	return found, nil
-}
-
-func (p *peer) Get(ctx context.Context, key string) (*keyvalue.Item, error) {
-	return first(p.read(ctx, &wire.RelayRead{Key: key}))
-}
-
-func (p *peer) GetStale(ctx context.Context, key string) (*keyvalue.Item, error) {
-	return first(p.read(ctx, &wire.RelayRead{Key: key, Stale: true}))
-}
-
-func first(found *wire.RelayItems, err error) (*keyvalue.Item, error) {
-	if err != nil || len(found.GetItems()) == 0 {
-		return nil, err
-	}
-	return &fromWire(found.GetItems())[0], nil
-}
-
-func (p *peer) List(ctx context.Context, prefix string) ([]keyvalue.Item, int64, error) {
-	found, err := p.read(ctx, &wire.RelayRead{Key: prefix, Prefix: true})
-	return fromWire(found.GetItems()), found.GetRevision(), err
-}
-
-func (p *peer) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
-	found, err := p.client.Watch(ctx, &wire.RelayWatch{Prefix: prefix, After: after, Wait: durationpb.New(wait)})
-	if err != nil {
-		return keyvalue.Events{}, fault.Unavailable.New(remedy, "relay.peer: %v", err)
-	}
-	return keyvalue.Events{Items: fromWire(found.GetItems()), Revision: found.GetRevision(), Compacted: found.GetCompacted()}, nil
-}
-
-func (p *peer) Commit(ctx context.Context, txn keyvalue.Txn) (keyvalue.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request := &wire.RelayTxn{Deletes: txn.Deletes}
-	for _, expect := range txn.Expect {
-		request.Expect = append(request.Expect, &wire.RelayItem{Key: expect.Key, Revision: expect.Revision})
-	}
-	for _, put := range txn.Puts {
-		request.Puts = append(request.Puts, &wire.RelayPut{Key: put.Key, Value: put.Value, Lease: put.Lease})
-	}
-	found, err := p.client.Commit(ctx, request)
-	if err != nil {
-		return keyvalue.TxnResult{}, said(err)
-	}
-	return keyvalue.TxnResult{Applied: found.GetApplied(), Revision: found.GetRevision(), Current: fromWire(found.GetCurrent())}, nil
-}
-
-func (p *peer) lease(ctx context.Context, request *wire.RelayLease) (*wire.RelayLease, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	found, err := p.client.Lease(ctx, request)
-	if err != nil {
-		return nil, said(err)
-	}
-	return found, nil
-}
-
-func (p *peer) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
-	found, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_GRANT, Ttl: durationpb.New(ttl)})
-	return found.GetLease(), err
-}
-
-func (p *peer) KeepAlive(ctx context.Context, lease int64) (bool, error) {
-	found, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_KEEP, Lease: lease})
-	return found.GetAlive(), err
-}
-
-func (p *peer) Revoke(ctx context.Context, lease int64) error {
-	_, err := p.lease(ctx, &wire.RelayLease{Action: wire.LeaseAction_LEASE_ACTION_END, Lease: lease})
-	return err
-}
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -44,33 +44,6 @@
 	noted map[target.Task]bool
 }
 
-type machine struct {
-	listing  target.Listing
-	started  time.Time
-	slow     float64
-	fence    int64
-	deadline time.Duration
-	running  map[target.Task]*run
-	highest  map[target.Task]int
-	ends     []ended
-	next     int64
-	// lapsed is when the lease last ran out.
-	lapsed   time.Time
-	cut      bool
-	lateLeft int
-}
-
-type ended struct {
-	target.Ended
-	at time.Time
-}
-
-type run struct {
-	number int
-	begun  time.Time
-	work   time.Duration
-}
-
 // Add brings a target up, or starts it anew.
 func (f *Fleet) Add(listing target.Listing) {
 	f.mu.Lock()
@@ -138,16 +111,6 @@
 	f.broken = append(f.broken, fmt.Sprintf(format, args...))
 }
 
-// clock is the target's own, which may be slow.
-func (m *machine) clock() time.Duration {
-	return time.Duration(float64(time.Since(m.started)) * (1 - m.slow))
-}
-
-// lapse is when the lease runs out.
-func (m *machine) lapse() time.Time {
-	return m.started.Add(time.Duration(float64(m.deadline) / (1 - m.slow)))
-}
-
 // settle ends what has ended by now. The lock is held.
 func (f *Fleet) settle(m *machine) {
 	tasks := make([]target.Task, 0, len(m.running))
@@ -198,14 +161,6 @@
 	return ended == job.Steps[step].Count || (ended > 0 && job.Steps[step].Gang)
 }
 
-func (m *machine) end(task target.Task, how target.How, at time.Time) {
-	r := m.running[task]
-	delete(m.running, task)
-	m.highest[task] = max(m.highest[task], r.number)
-	m.ends = append(m.ends, ended{Ended: target.Ended{Run: target.Run{Task: task, Number: r.number}, Number: m.next, How: how}, at: at})
-	m.next++
-}
-
 // reach finds a target, or waits as long as a caller does without an answer.
 func (f *Fleet) reach(ctx context.Context, to target.Listing) *machine {
 	timer := time.NewTimer(answerTime)
