Jobs wait once for faster targets; old claims to a guarantee come first

A job of three whole targets that its guarantee covers had not begun after 3.4 s. Change: a job waits for faster targets once, for the time of a stop and 250 ms; after 0.5 s (0.7 s before) a covered job claims its guarantee: it goes before all others, oldest first, and is started where there is room.

--- a/internal/scheduler/cost_test.go
+++ b/internal/scheduler/cost_test.go
@@ -69,4 +69,23 @@
 	if len(plan.Starts) != 0 || len(plan.Stops) != 1 || plan.Stops[0].Target != "t1" {
 		t.Errorf("have starts %v and stops %v, want a stop on t1", plan.Starts, plan.Stops)
 	}
+	f.after(400 * time.Millisecond)
+	if have := f.place(); len(have) != 1 || have[0] != "t0" {
+		t.Errorf("with the stop unanswered: have %v, want a start on t0", have)
+	}
+}
+
+// A job that has waited for its guarantee is served before one that is worth more.
+func TestOldClaimsComeFirst(t *testing.T) {
+	f := newFixture(t, 0)
+	whole := workload.Step{Count: 1, Estimate: 6 * time.Second, Needs: workload.Resources{MilliCores: 8000, MemoryMB: 100, Accelerators: 1}}
+	f.submit("old", "urgent", whole)
+	f.after(time.Second)
+	whole.Estimate = time.Second
+	f.submit("new", "urgent", whole)
+	f.Listed(f.now, f.listing(0))
+	f.report(0, target.Report{})
+	if starts := f.begin(); len(starts) != 1 || starts[0].Run.Task.Job != "old" {
+		t.Errorf("have %v, want the job that waits", starts)
+	}
 }
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -93,7 +93,9 @@
 	idle []*unit
 	// guaranteed says that its organisation's guarantee covers the job.
 	guaranteed bool
-	score      float64
+	// claims says that it has waited for its guarantee: nothing goes before it any more.
+	claims bool
+	score  float64
 	// worth is the credit that the job can still earn.
 	worth float64
 	// slack is how many seconds a task of the step may take for the job to be on time.
@@ -119,6 +121,7 @@
 			for _, st := range o.steps {
 				if idle := s.idle(now, st); len(idle) > 0 {
 					c := &candidate{step: st, idle: idle, guaranteed: j.queue.Priority == 0 && covered[j.Organisation]}
+					c.claims = c.guaranteed && now.Sub(o.due) >= reclaimPatience
 					c.score = s.score(now, c)
 					out = append(out, c)
 				}
@@ -126,17 +129,28 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *candidate) int {
-		if a.guaranteed != b.guaranteed {
-			if a.guaranteed {
-				return -1
-			}
-			return 1
+		if byRank := cmp.Compare(b.rank(), a.rank()); byRank != 0 {
+			return byRank
+		}
+		if a.claims {
+			return cmp.Or(a.step.occurrence.due.Compare(b.step.occurrence.due), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.number, b.step.number))
 		}
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.step.job.ID, b.step.job.ID), cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.step.occurrence.number, b.step.occurrence.number))
 	})
 	return out
 }
 
+// rank orders candidates before their scores do.
+func (c *candidate) rank() int {
+	switch {
+	case c.claims:
+		return 2
+	case c.guaranteed:
+		return 1
+	}
+	return 0
+}
+
 // idle lists the units of a step that may start now.
 func (s *Scheduler) idle(now time.Time, st *step) []*unit {
 	if st.left == 0 {
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -20,7 +20,9 @@
 	maxLossShare = 0.8
 	// reclaimPatience is how long a job that a guarantee covers waits before it stops runs
 	// that are worth more than itself.
-	reclaimPatience = 700 * time.Millisecond
+	reclaimPatience = 500 * time.Millisecond
+	// clearTime, besides that of a stop, is how long a job waits for room on faster targets.
+	clearTime = 250 * time.Millisecond
 	// likely is the risk from which a job counts as late.
 	likely = 0.5
 )
@@ -131,8 +133,7 @@
 		return false
 	}
 	// A guarantee is met in any case, but a costly stop waits a moment for room to come free.
-	claims := c.guaranteed && p.now.Sub(c.step.occurrence.due) >= reclaimPatience
-	if !claims && best.loss > c.earns(best.late)*maxLossShare {
+	if !c.claims && best.loss > c.earns(best.late)*maxLossShare {
 		if c.guaranteed {
 			p.s.wakeAt(c.step.occurrence.due.Add(reclaimPatience))
 		}
@@ -143,15 +144,24 @@
 }
 
 // hasten stops less important runs on faster targets for a candidate that would be late
-// on those that are free. It reports whether room is kept for the candidate.
+// on those that are free. It reports whether room is kept for the candidate, which waits
+// for it once.
 func (p *pass) hasten(c *candidate, chosen choice) bool {
-	if c.step.job.queue.Priority != 0 || c.risk(chosen.seconds) < likely {
+	if c.step.job.queue.Priority != 0 || c.claims || c.risk(chosen.seconds) < likely {
+		return false
+	}
+	until := c.step.hastened.Add(p.s.Limits.StopTime + clearTime)
+	if !c.step.hastened.IsZero() && p.now.After(until) {
 		return false
 	}
 	best := p.clearing(c)
 	if best == nil || best.late || best.loss > (c.earns(false)-c.earns(true))*maxLossShare {
 		return false
 	}
+	if c.step.hastened.IsZero() {
+		c.step.hastened = p.now
+	}
+	p.s.wakeAt(c.step.hastened.Add(p.s.Limits.StopTime + clearTime + time.Millisecond))
 	p.carryOut(c, best)
 	return true
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -112,6 +112,8 @@
 	measured bool
 	// learned says that the queue's estimates have been compared with the step.
 	learned bool
+	// hastened is when room was first made for the step on faster targets.
+	hastened time.Time
 }
 
 // unit is what is started at once: one task, or all tasks of a gang.
