The scheduler's step has a file of its own

Change: Step, wakeAt and advance moved to step.go; nothing else. Measured: tests of scheduler and coordinator pass; behaviour unchanged.

--- /dev/null
+++ b/internal/scheduler/step.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+)
+
+// Step decides what to do now.
+func (s *Scheduler) Step(now time.Time) Plan {
+	s.prepare()
+	s.wake = time.Time{}
+	s.expire(now)
+	s.advance(now)
+	s.fit(now)
+	s.rescue(now)
+	if s.catalogue != nil {
+		s.place(now)
+	}
+	plan := Plan{Starts: s.starts, Stops: s.stops, Wake: s.wake}
+	for _, j := range s.dirty {
+		plan.Writes = append(plan.Writes, Write{Job: j.ID, Record: j.record()})
+	}
+	s.starts, s.stops, s.dirty = nil, nil, map[string]*job{}
+	return plan
+}
+
+// wakeAt asks for a step at a time.
+func (s *Scheduler) wakeAt(at time.Time) {
+	if s.wake.IsZero() || at.Before(s.wake) {
+		s.wake = at
+	}
+}
+
+// advance closes steps, occurrences and jobs whose units are all done.
+func (s *Scheduler) advance(now time.Time) {
+	for _, j := range s.jobs {
+		if ended(j.phase) {
+			continue
+		}
+		open := 0
+		for _, o := range j.occurrences {
+			if o.done {
+				continue
+			}
+			left := 0
+			for _, st := range o.steps {
+				left += st.left
+			}
+			o.done = left == 0
+			if !o.done {
+				open++
+			}
+		}
+		if open == 0 {
+			s.end(now, j, wire.JobPhase_JOB_PHASE_DONE, "all tasks are done")
+		}
+	}
+}
