--- /dev/null
+++ b/internal/scheduler/restart_test.go
@@ -0,0 +1,197 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
+)
+
+// firstBorn is the Born of the targets that the fixture lists.
+const firstBorn = 1
+
+// restart lists a target's entry by a new incarnation.
+func (f *fixture) restart(i int, born int64) {
+	listing := f.listing(i)
+	listing.Born = born
+	f.TargetListed(f.now, listing)
+}
+
+// reportFrom passes a report by the given incarnation, which was requested at sent.
+func (f *fixture) reportFrom(i int, born int64, sent time.Time, report target.Report) {
+	report.Born, report.Clock = born, f.clock()
+	f.ReportReceived(f.now, f.listing(i).ID, sent, report)
+}
+
+// placeFirst submits a job of one task and returns its start, which is not sent yet.
+func (f *fixture) placeFirst() scheduler.Start {
+	f.t.Helper()
+	f.submit("a", "batch", smallStep(1))
+	starts := f.Step(f.now).Starts
+	if len(starts) != 1 || starts[0].Target != "t0" {
+		f.t.Fatalf("have starts %v, want one on t0", starts)
+	}
+	return starts[0]
+}
+
+// send records that a start is sent with a lease.
+func (f *fixture) send(start scheduler.Start) {
+	f.StartSent(start)
+	f.Deadline(f.now, start.Target)
+}
+
+// wantNoStart makes the steps of a second and fails if one of them starts a run. It returns the
+// stops.
+func (f *fixture) wantNoStart(reason string) []scheduler.Stop {
+	f.t.Helper()
+	var stops []scheduler.Stop
+	for range 20 {
+		plan := f.Step(f.now)
+		stops = append(stops, plan.Stops...)
+		if len(plan.Starts) > 0 {
+			f.t.Fatalf("have starts %v after %s, want none: %s", plan.Starts, f.now.Sub(start), reason)
+		}
+		f.advance(50 * time.Millisecond)
+		f.report(1, target.Report{})
+	}
+	return stops
+}
+
+// wantNextRun makes the steps of a second and fails unless one of them starts run 2.
+func (f *fixture) wantNextRun(reason string) {
+	f.t.Helper()
+	for range 20 {
+		if starts := f.Step(f.now).Starts; len(starts) > 0 {
+			if starts[0].Run.Number != 2 {
+				f.t.Fatalf("have start %v, want run 2", starts[0])
+			}
+			return
+		}
+		f.advance(50 * time.Millisecond)
+	}
+	f.t.Fatalf("run 2 was not started within a second: %s", reason)
+}
+
+// Guards against two runs of one task: a start that is in transit when its target restarts can
+// reach the new incarnation, so the task must not start elsewhere before the new incarnation has
+// accepted a stop and reported without the run.
+func TestStartInTransitAtARestartIsStoppedFirst(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.restart(0, firstBorn+1)
+	stops := f.wantNoStart("the start may have reached the new incarnation")
+	if len(stops) != 1 || stops[0].Run != first.Run {
+		t.Fatalf("have stops %v, want one of %v", stops, first.Run)
+	}
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	running := target.Report{Running: []target.Running{{Run: first.Run}}}
+	f.reportFrom(0, firstBorn+1, f.now, running)
+	f.wantNoStart("the new incarnation lists the run")
+	f.StopAnswered(f.now, stops[0], target.Reply{Answer: target.Accepted})
+	f.advance(10 * time.Millisecond)
+	f.reportFrom(0, firstBorn+1, f.now, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Stopped}}})
+	f.wantNextRun("the new incarnation has listed the run's end")
+}
+
+// Guards against two runs of one task: a target can accept a start after a restart of which the
+// planner has not heard yet, and then the run is alive.
+func TestRunThatTheNewIncarnationListsIsKept(t *testing.T) {
+	tests := map[string]func(f *fixture, run target.Run){
+		"restart shown by the report": func(f *fixture, run target.Run) {
+			f.reportFrom(0, firstBorn+1, f.now, target.Report{Running: []target.Running{{Run: run}}})
+		},
+		"restart shown by the entry": func(f *fixture, run target.Run) {
+			f.restart(0, firstBorn+1)
+			f.wantNoStart("no report of the new incarnation has come yet")
+			f.reportFrom(0, firstBorn+1, f.now, target.Report{Running: []target.Running{{Run: run}}})
+		},
+	}
+	for name, learn := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			first := f.placeFirst()
+			f.send(first)
+			f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+			f.advance(100 * time.Millisecond)
+			learn(f, first.Run)
+			if stops := f.wantNoStart("the new incarnation lists the run"); len(stops) > 0 {
+				t.Errorf("have stops %v, want none", stops)
+			}
+		})
+	}
+}
+
+// Guards against tasks that wait for a dead target: a report of the new incarnation that does not
+// list a run shows that it ended with the former one.
+func TestRunThatTheNewIncarnationDoesNotListIsRestarted(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.advance(100 * time.Millisecond)
+	f.reportFrom(0, firstBorn+1, f.now, target.Report{})
+	f.wantNextRun("the new incarnation does not list run 1")
+}
+
+// Guards against two runs of one task: after a restart it is not known which leases the new
+// incarnation was given, and the wait for them begins at the restart, however long the planner
+// has known the target.
+func TestWaitForLeasesAfterARestartBeginsAtTheRestart(t *testing.T) {
+	f := newFixture(t, 2)
+	f.advance(time.Minute)
+	f.report(0, target.Report{})
+	f.report(1, target.Report{})
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.restart(0, firstBorn+1)
+	f.wantNoStart("the unanswered start may reach the new incarnation")
+}
+
+// Guards against targets that are lost for good: Born is a time of day, which may have been set
+// back, so an incarnation with an earlier Born can be the newer one.
+func TestIncarnationWithAnEarlierBornIsTheNewOne(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.advance(100 * time.Millisecond)
+	f.restart(0, firstBorn-10)
+	f.reportFrom(0, firstBorn-10, f.now, target.Report{})
+	f.wantNextRun("the target has restarted with an earlier Born and does not list run 1")
+	if status := f.TargetStatus(f.now, "t0"); status.Listing.Born != firstBorn-10 || status.NeedsReport {
+		t.Errorf("have status %+v, want the incarnation %d with a report", status, firstBorn-10)
+	}
+}
+
+// Guards against a late report of a dead incarnation: one that was requested before the planner
+// heard of the restart says nothing about the new incarnation.
+func TestLateReportOfTheFormerIncarnationIsIgnored(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.advance(100 * time.Millisecond)
+	sent := f.now
+	f.advance(100 * time.Millisecond)
+	f.restart(0, firstBorn+1)
+	f.reportFrom(0, firstBorn, sent, target.Report{})
+	f.wantNoStart("only the former incarnation has reported")
+}
+
+// Guards against two runs of one task: a target that leaves renewals unanswered may have
+// restarted, and the new incarnation's clock has started anew, so that a deadline on the former
+// clock would prolong its leases each time while the planner counts on their end.
+func TestUnansweredRenewalsProlongNoLease(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.RenewalSent(f.now.Add(time.Millisecond), "t0")
+	f.advance(2 * time.Second)
+	if have := f.Deadline(f.now, "t0"); have != 0 {
+		t.Errorf("Deadline for a target that has not answered for 2 s: have %s, want none", have)
+	}
+}
