--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -52,7 +52,7 @@
 		a = &agent{session: s, targetID: targetID, renewSignal: make(chan struct{}, 1), orderSignal: make(chan struct{}, 1)}
 		s.agents[targetID] = a
 		ctx, cancel := context.WithCancel(s.context)
-		s.group.Go(func() { defer cancel(); a.report(ctx) })
+		s.group.Go(func() { defer cancel(); a.logEnd(a.report(ctx)) })
 		s.group.Go(func() { a.sendLoop(ctx) })
 	}
 	return a
@@ -98,19 +98,19 @@
 }
 
 // report renews the target's leases while runs may be alive there and processes its reports. It
-// returns when the target is removed or the term ends.
-func (a *agent) report(ctx context.Context) {
+// returns the cause when the target is removed or the term ends.
+func (a *agent) report(ctx context.Context) error {
 	for ctx.Err() == nil {
 		order, to, ok := a.nextRenewal()
 		if !ok {
 			if a.removeIfUnused() {
-				return
+				return errTargetRemoved
 			}
 			wait(ctx, a.renewSignal, idleCheckPeriod)
 			continue
 		}
 		if !a.session.maySendOrders() {
-			return
+			return errTermUnconfirmed
 		}
 		sent := time.Now()
 		report, reply := a.session.Targets.Renew(ctx, to, order)
@@ -124,7 +124,7 @@
 			}
 		case target.Fenced:
 			a.session.cancel(errFenced)
-			return
+			return errFenced
 		default:
 			if ctx.Err() == nil {
 				a.logUnaccepted("renewal", log.Fields{"answer": reply.Answer.String(), "took": time.Since(sent)})
@@ -132,6 +132,17 @@
 			sleep(ctx, retryInterval)
 		}
 	}
+	return context.Cause(ctx)
+}
+
+// logEnd logs that the agent sends nothing more, and how many orders it leaves.
+func (a *agent) logEnd(cause error) {
+	a.mu.Lock()
+	stops, starts := len(a.stops), len(a.starts)
+	a.mu.Unlock()
+	a.session.Log.WithFields(log.Fields{
+		"target": a.targetID, "token": a.session.currentTerm.Token, "contact": a.session.currentTerm.SinceContact(), "cause": cause, "stops": stops, "starts": starts,
+	}).Info("coordinator: an agent ended")
 }
 
 // wait returns when channel receives, after timeout, or when ctx ends.
@@ -233,11 +244,17 @@
 	s.mu.Lock()
 	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
 	s.mu.Unlock()
-	if !to.Address.IsValid() || !s.maySendOrders() {
+	if !to.Address.IsValid() {
+		a.logDropped("stop", stop.Run, "the target's address is not known")
+		return
+	}
+	if !s.maySendOrders() {
+		a.logDropped("stop", stop.Run, "the term is not confirmed")
 		return
 	}
+	sent := time.Now()
 	reply := s.Targets.Stop(ctx, to, stop.Run, s.currentTerm.Token)
-	a.recordReply("stop", stop.Run, reply)
+	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
 	s.mu.Lock()
 	s.plan.StopAnswered(time.Now(), stop, reply)
 	wanted := s.plan.StopPending(stop)
@@ -259,11 +276,16 @@
 		Run: start.Run, Payload: payload, Checkpoint: checkpoint, FenceToken: s.currentTerm.Token, Deadline: s.plan.Deadline(time.Now(), a.targetID),
 	}
 	s.mu.Unlock()
-	if !wanted || !s.maySendOrders() {
+	if !wanted {
 		return
 	}
+	if !s.maySendOrders() {
+		a.logDropped("start", start.Run, "the term is not confirmed")
+		return
+	}
+	sent := time.Now()
 	reply := s.Targets.Start(ctx, to, order)
-	a.recordReply("start", start.Run, reply)
+	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
 	s.mu.Lock()
 	s.plan.StartAnswered(time.Now(), start, reply)
 	s.mu.Unlock()
@@ -272,17 +294,30 @@
 	}
 }
 
-// recordReply counts and logs the answer to an order. A fenced order ends the term.
-func (a *agent) recordReply(kind string, run target.Run, reply target.Reply) {
+// recordReply counts and logs the answer to an order. A fenced order ends the term. Each answer
+// to a start is logged, since any is final, and each accepted stop.
+func (a *agent) recordReply(kind string, reply target.Reply, fields log.Fields) {
+	fields["answer"], fields["token"], fields["clock"] = reply.Answer.String(), a.session.currentTerm.Token, reply.Clock
 	metrics.GetOrRegisterCounter("target."+kind+"."+reply.Answer.String(), a.session.Metrics).Inc(1)
 	if reply.Answer == target.Fenced {
 		a.session.cancel(errFenced)
 	}
+	if reply.Answer == target.Accepted || (kind == "start" && reply.Answer != target.Unanswered) {
+		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info("coordinator: a " + kind + " was answered")
+	}
 	if reply.Answer != target.Accepted {
-		a.logUnaccepted(kind, log.Fields{"run": run, "answer": reply.Answer.String()})
+		a.logUnaccepted(kind, fields)
 	}
 }
 
+// logDropped logs an order that is neither sent nor repeated.
+func (a *agent) logDropped(kind string, run target.Run, reason string) {
+	term := a.session.currentTerm
+	a.session.Log.WithFields(log.Fields{
+		"run": run, "target": a.targetID, "token": term.Token, "contact": term.SinceContact(), "reason": reason,
+	}).Info("coordinator: a " + kind + " was dropped")
+}
+
 // logUnaccepted logs an order that was not accepted, at most once per logInterval for a
 // target. The metrics count every one.
 func (a *agent) logUnaccepted(kind string, fields log.Fields) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -40,6 +40,7 @@
 var (
 	errFenced          = errors.New("coordinator.Lead: a target refused an order because a planner with a higher fencing token has given it orders")
 	errTermLost        = errors.New("coordinator.Lead: the term's record or the sequence in the store is not of this term; another planner has taken over")
+	errTargetRemoved   = errors.New("coordinator.agent: the target is not listed and has no runs")
 	errTermUnconfirmed = errors.New("coordinator.Lead: the store has not confirmed the term for more than 8 s; check that the store can be reached")
 )
 
@@ -96,8 +97,15 @@
 	s := &session{
 		Coordinator: c, currentTerm: currentTerm, context: ctx, cancel: cancel, agents: map[string]*agent{}, stepSignal: make(chan struct{}, 1),
 		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(),
-		plan: &scheduler.Scheduler{Limits: c.Limits, Log: c.event},
 	}
+	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
+	err := s.lead(ctx)
+	metrics.GetOrRegisterCounter("coordinator.termEnded."+termEndReason(err), c.Metrics).Inc(1)
+	return err
+}
+
+// lead reads the state from the store and schedules until the term ends. It returns the cause.
+func (s *session) lead(ctx context.Context) error {
 	if err := s.loadFromStore(ctx); err != nil {
 		return err
 	}
@@ -111,17 +119,32 @@
 	)
 	for end := range ends {
 		if end.Err != nil && ctx.Err() == nil {
-			cancel(end.Err)
+			s.cancel(end.Err)
 		}
 	}
 	s.group.Wait()
 	return context.Cause(ctx)
 }
 
+// termEndReason names the cause of a term's end for the metrics.
+func termEndReason(cause error) string {
+	switch {
+	case errors.Is(cause, errFenced):
+		return "fenced"
+	case errors.Is(cause, errTermLost):
+		return "lost"
+	case errors.Is(cause, errTermUnconfirmed):
+		return "unconfirmed"
+	case errors.Is(cause, context.Canceled):
+		return "cancelled"
+	}
+	return "failed"
+}
+
 // event counts and logs a decision of the scheduler.
-func (c *Coordinator) event(event string, fields scheduler.Fields) {
-	metrics.GetOrRegisterCounter("scheduler."+event, c.Metrics).Inc(1)
-	c.Log.WithFields(log.Fields(fields)).Info("scheduler: " + event)
+func (s *session) event(event string, fields scheduler.Fields) {
+	metrics.GetOrRegisterCounter("scheduler."+event, s.Metrics).Inc(1)
+	s.Log.WithFields(log.Fields(fields)).WithField("token", s.currentTerm.Token).Info("scheduler: " + event)
 }
 
 // requestStep wakes stepLoop.
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -219,6 +219,7 @@
 				s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
 				break
 			}
+			s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
 			s.mu.Lock()
 			s.plan.Forget(id)
 			s.mu.Unlock()
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -68,6 +68,10 @@
 	// any run here; inherited says that a former planner had measured it.
 	priorLogSpeed float64
 	inherited     bool
+	// reportIgnoredLogged and entryIgnoredLogged are when a report and an entry of an earlier
+	// incarnation were last logged.
+	reportIgnoredLogged time.Time
+	entryIgnoredLogged  time.Time
 }
 
 // node returns the record of a target and creates it if needed. A target that is not listed
@@ -87,13 +91,17 @@
 	s.initialise()
 	n := s.node(now, listing.ID)
 	if n.listed && listing.Born < n.Born {
+		s.logIgnored(now, n, "target entry ignored", &n.entryIgnoredLogged, Fields{"entryBorn": listing.Born, "entryClock": listing.Clock})
 		return
 	}
 	if n.Born != 0 && listing.Born > n.Born {
 		s.restarted(now, n, listing.Born)
 	}
 	if !n.listed || n.Draining != listing.Draining {
-		s.log("target listed", Fields{"target": listing.ID, "draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack})
+		s.log("target listed", n.fields(now).with(Fields{
+			"born": listing.Born, "formerBorn": n.Born, "entryClock": listing.Clock, "runs": len(n.members),
+			"draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack,
+		}))
 	}
 	n.Listing, n.listed = listing, true
 	if listing.Clock > n.clockLowerBound(now) {
@@ -107,14 +115,14 @@
 	s.initialise()
 	if n := s.nodes[id]; n != nil && n.listed {
 		n.listed = false
-		s.log("target unlisted", Fields{"target": id, "runs": len(n.members), "heard": now.Sub(n.lastContact)})
+		s.log("target unlisted", n.fields(now).with(Fields{"runs": len(n.members)}))
 	}
 }
 
 // restarted handles the restart of a target: no run of its former incarnation is alive. A
 // start that was not answered may still reach the new incarnation, so it is closed by a stop.
 func (s *Scheduler) restarted(now time.Time, n *node, born int64) {
-	s.log("target restarted", Fields{"target": n.ID, "born": born, "runs": len(n.members)})
+	s.log("target restarted", n.fields(now).with(Fields{"born": born, "formerBorn": n.Born, "runs": len(n.members)}))
 	n.Born, n.clock, n.clockAt, n.leaseEnd, n.lastEnd, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
 	for _, m := range n.sortedMembers() {
 		if m.startUnanswered && m.state != memberConfirmed {
@@ -201,7 +209,7 @@
 
 // loseRun logs and closes a run that is known to be no longer alive on its target.
 func (s *Scheduler) loseRun(now time.Time, m *member, reason string) {
-	s.log("run lost", Fields{"job": m.unit.step.job.ID, "run": m.run(), "target": m.node.ID, "reason": reason, "heard": now.Sub(m.node.lastContact)})
+	s.log("run lost", m.fields(now).with(Fields{"reason": reason}))
 	s.close(now, m, reason)
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -242,11 +242,11 @@
 			n.perStep[c.step]++
 		}
 		p.s.starts = append(p.s.starts, Start{Run: m.run(), Target: n.ID})
-		p.s.log("run placed", Fields{
-			"job": j.ID, "run": m.run(), "target": n.ID, "rack": n.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
-			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "heard": p.now.Sub(n.lastContact), "speed": n.speed, "slack": c.slack,
+		p.s.log("run placed", m.fields(p.now).with(Fields{
+			"rack": n.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
+			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
-		})
+		}))
 	}
 	if j.phase == wire.JobPhase_JOB_PHASE_QUEUED {
 		j.phase = wire.JobPhase_JOB_PHASE_RUNNING
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -15,6 +16,9 @@
 	}
 	if report.Born != 0 && n.Born != 0 && report.Born != n.Born {
 		if report.Born < n.Born {
+			s.logIgnored(now, n, "report ignored", &n.reportIgnoredLogged, Fields{
+				"reportBorn": report.Born, "reportClock": report.Clock, "running": len(report.Running), "ended": len(report.Ended), "requested": now.Sub(sent),
+			})
 			return
 		}
 		s.restarted(now, n, report.Born)
@@ -60,7 +64,7 @@
 	m := n.members[running.Run]
 	if m == nil || m.state == memberAwaitingWrite {
 		s.stops = append(s.stops, Stop{Run: running.Run, Target: n.ID})
-		s.log("unknown run stopped", Fields{"run": running.Run, "target": n.ID})
+		s.log("unknown run stopped", n.fields(now).with(Fields{"run": running.Run, "known": m != nil}))
 		return
 	}
 	if m.state != memberConfirmed {
@@ -80,19 +84,19 @@
 func (s *Scheduler) runEnded(now time.Time, n *node, end target.Ended) {
 	m := n.members[end.Run]
 	if m == nil {
-		s.log("end ignored", Fields{"run": end.Run, "target": n.ID, "how": end.Outcome.String(), "number": end.Number})
+		s.log("end ignored", n.fields(now).with(Fields{"run": end.Run, "how": end.Outcome.String(), "number": end.Number}))
 		return
 	}
 	u := m.unit
 	if end.Checkpoint != "" {
 		u.checkpoint = end.Checkpoint
 	}
-	s.log("run ended", Fields{"job": u.step.job.ID, "run": end.Run, "target": n.ID, "how": end.Outcome.String(), "number": end.Number, "ran": now.Sub(u.startedAt)})
+	s.log("run ended", m.fields(now).with(Fields{"how": end.Outcome.String(), "number": end.Number, "ran": now.Sub(u.startedAt)}))
 	switch end.Outcome {
 	case target.Done:
 		n.failures = 0
 		s.updateEstimate(u)
-		s.finishUnit(now, u)
+		s.finishUnit(now, m)
 		return
 	case target.Failed:
 		s.countFailure(now, n, u)
@@ -101,22 +105,30 @@
 	u.notBefore = now.Add(retryPause)
 }
 
-// finishUnit marks a unit as done and closes its run: a gang is done when one member is. A
-// long-running unit is not marked, so that it starts again.
-func (s *Scheduler) finishUnit(now time.Time, u *unit) {
+// finishUnit marks the unit of a member that ended as done, and closes its run: a gang is done
+// when one member is. A long-running unit is not marked, so that it starts again.
+func (s *Scheduler) finishUnit(now time.Time, first *member) {
+	u := first.unit
 	s.dirty[u.step.job.ID] = u.step.job
 	if u.step.spec.LongRunning {
-		for _, m := range append([]*member(nil), u.members...) {
-			s.close(now, m, "its long-running task ended")
-		}
+		s.closeMembers(now, first, "its long-running task ended")
 		return
 	}
 	if !u.done {
 		u.done = true
 		u.step.unitsLeft--
 	}
-	for _, m := range append([]*member(nil), u.members...) {
-		s.close(now, m, "it is done")
+	s.closeMembers(now, first, "it is done")
+}
+
+// closeMembers closes all members of the run of a member that ended. It logs the others, because
+// the event of the end shows only the one that ended.
+func (s *Scheduler) closeMembers(now time.Time, first *member, reason string) {
+	for _, m := range slices.Clone(first.unit.members) {
+		if m != first {
+			s.logClosed(now, m, reason)
+		}
+		s.close(now, m, reason)
 	}
 }
 
@@ -156,6 +168,9 @@
 			m.unit.startedAt = now
 		}
 	case target.Unanswered:
+		if !m.startUnanswered {
+			s.log("start unanswered", m.fields(now))
+		}
 		m.startUnanswered = true
 	default:
 		s.startRefused(now, m, reply.Answer)
@@ -164,7 +179,7 @@
 
 // startRefused handles a start that the target refused.
 func (s *Scheduler) startRefused(now time.Time, m *member, answer target.Answer) {
-	s.log("start refused", Fields{"job": m.unit.step.job.ID, "run": m.run(), "target": m.node.ID, "answer": answer.String(), "doubtful": m.startUnanswered, "used": m.node.used})
+	s.log("start refused", m.fields(now).with(Fields{"answer": answer.String(), "used": m.node.used}))
 	m.node.block(now.Add(refusalPause))
 	m.unit.notBefore = now.Add(retryPause)
 	if m.startUnanswered {
@@ -188,12 +203,24 @@
 func (s *Scheduler) StartSent(start Start) bool {
 	m := s.member(start.Target, start.Run)
 	if m == nil || !m.stopDecided.IsZero() || m.state == memberConfirmed {
+		s.log("start dropped", Fields{"run": start.Run, "target": start.Target, "reason": m.startDropReason()})
 		return false
 	}
 	m.state = memberStartSent
 	return true
 }
 
+// startDropReason says why the start of a run is no longer wanted; m is nil if the run is closed.
+func (m *member) startDropReason() string {
+	switch {
+	case m == nil:
+		return "the run is closed"
+	case !m.stopDecided.IsZero():
+		return "the run is to be stopped"
+	}
+	return "the target has confirmed the run"
+}
+
 // StopPending reports whether a stop has not been acknowledged yet.
 func (s *Scheduler) StopPending(stop Stop) bool {
 	m := s.member(stop.Target, stop.Run)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -297,17 +297,25 @@
 func (s *Scheduler) stopUnit(now time.Time, u *unit, reason string) {
 	for _, m := range append([]*member(nil), u.members...) {
 		if m.state == memberAwaitingWrite {
+			s.logClosed(now, m, "its start was withdrawn before it was sent: "+reason)
 			s.close(now, m, "its start was withdrawn before it was sent")
 			continue
 		}
 		if m.stopDecided.IsZero() {
 			m.stopDecided = now
 			s.stops = append(s.stops, Stop{Run: m.run(), Target: m.node.ID})
-			s.log("run stopped", Fields{"job": u.step.job.ID, "run": m.run(), "target": m.node.ID, "reason": reason})
+			s.log("run stopped", m.fields(now).with(Fields{"reason": reason}))
 		}
 	}
 }
 
+// logClosed logs that a member is about to be closed, unless it is closed already.
+func (s *Scheduler) logClosed(now time.Time, m *member, reason string) {
+	if slices.Contains(m.unit.members, m) {
+		s.log("run closed", m.fields(now).with(Fields{"reason": reason}))
+	}
+}
+
 // close removes a member that is known not to be running. Closing one member of a gang stops
 // the others, which may close them in turn, so it may be called again for the same member.
 func (s *Scheduler) close(now time.Time, m *member, reason string) {
