Incarnations of a target are not ordered by their time of day

Callers saw: accepted jobs that were never run (LOST), and possibly TWICE: a target that restarts after its time of day was set back, or that first started while it was ahead, has an earlier Born than before. Cause: an entry or a report with an earlier Born was taken for one of a former incarnation and ignored for good; while the target was unlisted an earlier Born was taken over without a restart. Class: events ordered by a wall clock. Change: the planner remembers the incarnations that were replaced. An entry with a Born that is neither the current nor a former one is a restart. A report decides by when it was requested: after the planner heard of the current incarnation, it shows which one answers now; before, it is ignored.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -101,6 +101,7 @@
 // returns the cause when the target is removed or the term ends.
 func (a *agent) report(ctx context.Context) error {
 	for ctx.Err() == nil {
+		sent := time.Now()
 		order, to, ok := a.nextRenewal()
 		if !ok {
 			if a.removeIfUnused() {
@@ -112,7 +113,6 @@
 		if !a.session.maySendOrders() {
 			return errTermUnconfirmed
 		}
-		sent := time.Now()
 		report, reply := a.session.Targets.Renew(ctx, to, order)
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -2,8 +2,43 @@
 
 import (
 	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
 
+// meetIncarnation records the incarnation of a target that the planner has now heard of. It is a
+// restart unless it is the first one.
+func (s *Scheduler) meetIncarnation(now time.Time, n *node, born int64) {
+	n.incarnationSince = now
+	if n.Born == 0 {
+		n.Born = born
+		return
+	}
+	if n.formerIncarnations == nil {
+		n.formerIncarnations = map[int64]bool{}
+	}
+	n.formerIncarnations[n.Born] = true
+	delete(n.formerIncarnations, born)
+	s.restarted(now, n, born)
+}
+
+// isOfCurrentIncarnation reports whether a report comes from the target's current incarnation,
+// after it has recorded a new one. A report that was requested before the planner heard of the
+// current incarnation may come from any other.
+func (s *Scheduler) isOfCurrentIncarnation(now time.Time, n *node, sent time.Time, report target.Report) bool {
+	if report.Born == 0 || report.Born == n.Born {
+		return true
+	}
+	if sent.Before(n.incarnationSince) {
+		s.logIgnored(now, n, "report ignored", &n.reportIgnoredLogged, Fields{
+			"reportBorn": report.Born, "reportClock": report.Clock, "running": len(report.Running), "ended": len(report.Ended), "requested": now.Sub(sent),
+		})
+		return false
+	}
+	s.meetIncarnation(now, n, report.Born)
+	return true
+}
+
 // restarted handles the first sign of a new incarnation of a target. It closes only the runs that
 // are known not to be alive in it; a report of the new incarnation decides about the others.
 func (s *Scheduler) restarted(now time.Time, n *node, born int64) {
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -36,6 +36,11 @@
 type node struct {
 	target.Listing
 	listed bool
+	// incarnationSince is when the planner first heard of the incarnation Born, and
+	// formerIncarnations holds the Born of those before it. They are not ordered by Born, because
+	// a target's time of day may be set back.
+	incarnationSince   time.Time
+	formerIncarnations map[int64]bool
 	// contacted says that this planner has received a report since it first knew the target or
 	// since the target restarted.
 	contacted  bool
@@ -91,17 +96,20 @@
 	return n
 }
 
-// TargetListed handles a new or changed entry of a target in the store. While the target is
-// listed, an entry of an earlier incarnation is ignored.
+// TargetListed handles a new or changed entry of a target in the store. An entry of a former
+// incarnation is ignored.
 func (s *Scheduler) TargetListed(now time.Time, listing target.Listing) {
 	s.initialise()
 	n := s.node(now, listing.ID)
-	if n.listed && listing.Born < n.Born {
+	if listing.Born == 0 {
+		listing.Born = n.Born
+	}
+	if n.formerIncarnations[listing.Born] {
 		s.logIgnored(now, n, "target entry ignored", &n.entryIgnoredLogged, Fields{"entryBorn": listing.Born, "entryClock": listing.Clock})
 		return
 	}
-	if n.Born != 0 && listing.Born > n.Born {
-		s.restarted(now, n, listing.Born)
+	if listing.Born != n.Born {
+		s.meetIncarnation(now, n, listing.Born)
 	}
 	if !n.listed || n.Draining != listing.Draining {
 		s.log("target listed", n.fields(now).with(Fields{
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -7,22 +7,13 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
 
-// ReportReceived handles a target's report; sent is when it was requested. A report of an
-// earlier incarnation is ignored.
+// ReportReceived handles a target's report; sent is a time before it was requested. A report of a
+// former incarnation is ignored.
 func (s *Scheduler) ReportReceived(now time.Time, id string, sent time.Time, report target.Report) {
 	n := s.nodes[id]
-	if n == nil {
+	if n == nil || !s.isOfCurrentIncarnation(now, n, sent, report) {
 		return
 	}
-	if report.Born != 0 && n.Born != 0 && report.Born != n.Born {
-		if report.Born < n.Born {
-			s.logIgnored(now, n, "report ignored", &n.reportIgnoredLogged, Fields{
-				"reportBorn": report.Born, "reportClock": report.Clock, "running": len(report.Running), "ended": len(report.Ended), "requested": now.Sub(sent),
-			})
-			return
-		}
-		s.restarted(now, n, report.Born)
-	}
 	if !n.contacted {
 		// A former planner may have granted a whole lease just before it was fenced.
 		n.leaseEnd = max(n.leaseEnd, report.Clock+s.Limits.TaskLease)
