The batch stand-ins work through their maps in a fixed order

Cause: the targets' reports, the search for a second run and the end of leases in the store followed the order of a map, which differs between runs, so one sequence of the batch jobs' proof could take different courses. Change: they follow the order of IDs and keys. What is checked is unchanged.

--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -70,8 +72,8 @@
 		s.items, s.leases, s.ttl = map[string]keyvalue.Item{}, map[int64]time.Time{}, map[int64]time.Duration{}
 		s.leaseOf, s.changed, s.revision = map[string]int64{}, make(chan struct{}), 1
 	}
-	for id, expires := range s.leases {
-		if time.Now().After(expires) {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if time.Now().After(s.leases[id]) {
 			s.endLease(id)
 		}
 	}
@@ -80,8 +82,8 @@
 // endLease removes a lease and deletes its keys, each in a revision of its own.
 func (s *Store) endLease(id int64) {
 	delete(s.leases, id)
-	for key, lease := range s.leaseOf {
-		if lease == id {
+	for _, key := range slices.Sorted(maps.Keys(s.leaseOf)) {
+		if s.leaseOf[key] == id {
 			s.revision++
 			s.remove(key)
 		}
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -6,7 +6,8 @@
 import (
 	"context"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,16 +126,11 @@
 // updateRuns ends the runs whose work is finished or whose lease has expired. The caller holds
 // mu.
 func (f *Fleet) updateRuns(t *incarnation) {
-	tasks := make([]target.Task, 0, len(t.running))
-	for task := range t.running {
-		tasks = append(tasks, task)
-	}
-	sort.Slice(tasks, func(i, j int) bool { return fmt.Sprint(tasks[i]) < fmt.Sprint(tasks[j]) })
 	now := time.Now()
 	if leaseExpiry := t.leaseExpiry(); leaseExpiry.Before(now) {
 		t.lastExpiry = leaseExpiry
 	}
-	for _, task := range tasks {
+	for _, task := range t.runningTasks() {
 		r := t.running[task]
 		end := r.started.Add(r.work)
 		leaseExpiry := t.leaseExpiry()
@@ -274,7 +270,8 @@
 	if at, ok := f.cancelled[job.ID]; ok && time.Since(at) > cancelTolerance {
 		f.addViolation("cancelled: %s started %s after its job's cancellation", order.Run, time.Since(at))
 	}
-	for _, other := range f.targets {
+	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
+		other := f.targets[id]
 		f.updateRuns(other)
 		if other.running[order.Task] != nil {
 			f.addViolation("twice: %s on %s runs on %s too", order.Run, t.listing.ID, other.listing.ID)
@@ -340,7 +337,8 @@
 	for _, end := range t.ends {
 		report.Ended = append(report.Ended, end.Ended)
 	}
-	for task, r := range t.running {
+	for _, task := range t.runningTasks() {
+		r := t.running[task]
 		percent := int(100 * time.Since(r.started) / r.work)
 		report.Running = append(report.Running, target.Running{Run: target.Run{Task: task, Number: r.number}, Percent: percent})
 	}
--- a/internal/standin/batchtarget/incarnation.go
+++ b/internal/standin/batchtarget/incarnation.go
@@ -1,6 +1,9 @@
 package batchtarget
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -51,6 +54,16 @@
 	return t.started.Add(time.Duration(float64(t.leaseEnd) / (1 - t.clockLag)))
 }
 
+// runningTasks returns the tasks that are running, in a fixed order.
+func (t *incarnation) runningTasks() []target.Task {
+	tasks := make([]target.Task, 0, len(t.running))
+	for task := range t.running {
+		tasks = append(tasks, task)
+	}
+	slices.SortFunc(tasks, func(a, b target.Task) int { return cmp.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	return tasks
+}
+
 func (t *incarnation) end(task target.Task, how target.Outcome, at time.Time) {
 	r := t.running[task]
 	delete(t.running, task)
