No two calls of the batch stand-ins take equally long

Cause: in a synctest bubble, timers for the same instant fire in random order. All calls took equally long, so agents that called together were answered in another order in each run. Change: each call's delay is drawn from a source of the stand-in with a fixed seed, 2 to 3 ms for targets (was 2 ms) and 4 to 5 ms for the store (was 4 ms).

--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"strings"
@@ -16,17 +17,22 @@
 )
 
 const (
-	// callLatency is the delay before each call.
-	callLatency = 4 * time.Millisecond
+	// minLatency and maxLatency bound the delay before each call.
+	minLatency  = 4 * time.Millisecond
+	maxLatency  = 5 * time.Millisecond
+	latencySeed = 1
 	// callTimeout is how long a call that gets no answer blocks before it returns an error.
 	callTimeout = 900 * time.Millisecond
 )
 
 // Store implements keyvalue.Service in memory. The zero value is ready for use.
 type Store struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]keyvalue.Item
+	mu sync.Mutex
+	// latencies is the source of the calls' delays. Timers for the same instant fire in random
+	// order, so the delays differ.
+	latencies *rand.Rand
+	revision  int64
+	items     map[string]keyvalue.Item
 	// leases and ttl hold, by lease ID, when the lease expires and for how long it is granted.
 	leases map[int64]time.Time
 	ttl    map[int64]time.Duration
@@ -109,7 +115,7 @@
 // beginCall waits for the call latency and locks mu. It returns an Ambiguous error, without the
 // lock, if ctx ends or the store is down.
 func (s *Store) beginCall(ctx context.Context) error {
-	if err := sleep(ctx, callLatency); err != nil {
+	if err := sleep(ctx, s.latency()); err != nil {
 		return errkind.Ambiguous.New("call again", "Store.beginCall: the call was cancelled before it reached the store: %v", err)
 	}
 	s.mu.Lock()
@@ -122,6 +128,16 @@
 	return nil
 }
 
+// latency draws the delay before a call.
+func (s *Store) latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latencies == nil {
+		s.latencies = rand.New(rand.NewPCG(latencySeed, latencySeed))
+	}
+	return minLatency + time.Duration(s.latencies.Int64N(int64(maxLatency-minLatency)))
+}
+
 func sleep(ctx context.Context, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +17,9 @@
 )
 
 const (
-	// callLatency is the delay before each call.
-	callLatency = 2 * time.Millisecond
+	// minLatency and maxLatency bound the delay before each call.
+	minLatency = 2 * time.Millisecond
+	maxLatency = 3 * time.Millisecond
 	// pollPeriod is how often a waiting renewal looks for ended runs.
 	pollPeriod = 20 * time.Millisecond
 	// callTimeout is how long a call that gets no answer blocks.
@@ -27,6 +29,7 @@
 	// cancelTolerance is for how long after a job's cancellation was acknowledged its tasks may
 	// still be started.
 	cancelTolerance = 3 * time.Second
+	latencySeed     = 1
 )
 
 // Fleet implements target.Targets. Set the exported fields before the first call.
@@ -40,6 +43,9 @@
 	ClockLag float64
 
 	mu sync.Mutex
+	// latencies is the source of the calls' delays. Timers for the same instant fire in random
+	// order, so the delays differ.
+	latencies *rand.Rand
 	// targets holds the current incarnation of each target, by ID.
 	targets   map[string]*incarnation
 	jobs      map[string]*workload.Job
@@ -61,7 +67,7 @@
 	if f.targets == nil {
 		f.targets, f.jobs, f.cancelled = map[string]*incarnation{}, map[string]*workload.Job{}, map[string]time.Time{}
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
-		f.acknowledged = map[target.Task]bool{}
+		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
 	f.targets[listing.ID] = &incarnation{
 		listing: listing, started: time.Now(), running: map[target.Task]*run{}, highest: map[target.Task]int{}, nextEnd: 1, clockLag: f.ClockLag,
@@ -174,7 +180,7 @@
 // reach returns a target with mu locked. If the target is unreachable, it blocks for callTimeout
 // and returns nil without the lock, as it does when ctx ends.
 func (f *Fleet) reach(ctx context.Context, to target.Listing) *incarnation {
-	timer := time.NewTimer(callLatency)
+	timer := time.NewTimer(f.latency())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -192,6 +198,13 @@
 	return t
 }
 
+// latency draws the delay before a call.
+func (f *Fleet) latency() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return minLatency + time.Duration(f.latencies.Int64N(int64(maxLatency-minLatency)))
+}
+
 // leaveUnanswered blocks until the caller of an order would time out, or until ctx ends.
 func (f *Fleet) leaveUnanswered(ctx context.Context) {
 	timer := time.NewTimer(callTimeout)
