The batch jobs' proof can print and repeat one sequence

Cause: a failing sequence could not be followed, and took another course in each run. Change: -steps and -stepsSeed play one sequence; -trace (with -v) prints the orders, answers, reports, runs, restarts and decisions with the simulated time. Sequences are played with one processor and without garbage collections, which makes goroutines run in one order. The property and its checks are unchanged.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
@@ -48,6 +47,8 @@
 	// recoveryTime is how long all accepted jobs may take to end after the last fault.
 	recoveryTime = 90 * time.Second
 	targetPrefix = "servers/"
+	// stepKinds is the number of different steps that perform knows.
+	stepKinds = 14
 )
 
 // link is a host's connection to the store; cut makes its calls fail.
@@ -102,6 +103,7 @@
 // deployment is a small deployment under test: hosts, a store and targets.
 type deployment struct {
 	t             *testing.T
+	started       time.Time
 	random        *rand.Rand
 	store         *batchstore.Store
 	fleet         *batchtarget.Fleet
@@ -119,10 +121,10 @@
 
 func newDeployment(t *testing.T, seed int64) *deployment {
 	d := &deployment{
-		t: t, random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
+		t: t, started: time.Now(), random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
 		accepted: map[string]*workload.Job{}, cancelled: map[string]bool{}, incarnation: 1,
 	}
-	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, RunFails: func(run target.Run) bool {
+	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, Log: d.log("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
 	d.configuration = &catalogue.Catalogue{
@@ -138,12 +140,11 @@
 	for i := range targetCount {
 		d.addTarget(i)
 	}
-	discardLog := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
-	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: discardLog}
+	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: d.log("calls")}
 	for i := range hostCount {
 		d.links = append(d.links, &link{Service: d.store})
 		d.stopHost, d.hostEnded = append(d.stopHost, nil), append(d.hostEnded, nil)
-		d.startHost(i, discardLog)
+		d.startHost(i)
 	}
 	return d
 }
@@ -167,12 +168,16 @@
 	}
 }
 
-func (d *deployment) startHost(i int, discardLog log.Interface) {
+// log returns a log whose entries are marked with a name.
+func (d *deployment) log(name string) log.Interface { return newLog(d.t, name, d.started) }
+
+func (d *deployment) startHost(i int) {
+	hostLog := d.log(fmt.Sprintf("host%d", i))
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: d.fleet, TargetPrefix: targetPrefix, Catalogue: func() *catalogue.Catalogue { return d.configuration },
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog}, TargetPrefix: targetPrefix, Catalogue: func() *catalogue.Catalogue { return d.configuration },
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
@@ -183,11 +188,11 @@
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: time.Hour,
 			CheckpointPeriod: time.Second,
 		},
-		Metrics: metrics.NewRegistry(), Log: discardLog,
+		Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
 	election := &term.Election{
 		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) },
-		Lead: planner.Lead, Log: discardLog,
+		Lead: planner.Lead, Log: hostLog,
 	}
 	end := d.hostEnded[i]
 	go func() {
@@ -253,10 +258,10 @@
 
 // perform carries out one step of a sequence: a call, a fault or a pause.
 func (d *deployment) perform(step uint8) {
-	discardLog := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	host := d.random.IntN(hostCount)
 	targetIndex := d.random.IntN(targetCount)
-	switch step % 14 {
+	d.log("test").WithFields(log.Fields{"step": step, "kind": step % stepKinds, "host": host, "target": targetID(targetIndex)}).Info("step")
+	switch step % stepKinds {
 	case 0, 1, 2, 3:
 		d.submit()
 	case 4:
@@ -264,7 +269,7 @@
 	case 5:
 		d.stopHost[host]()
 		<-d.hostEnded[host]
-		d.startHost(host, discardLog)
+		d.startHost(host)
 	case 6:
 		d.links[host].cut.Store(!d.links[host].cut.Load())
 	case 7:
@@ -296,6 +301,7 @@
 		link.cut.Store(false)
 	}
 	d.store.LoseAnswers(0, 0)
+	d.log("test").Info("all faults have ended")
 	time.Sleep(recoveryTime)
 	violations := d.fleet.Violations()
 	for _, id := range d.acceptedIDs() {
@@ -336,16 +342,10 @@
 	return violations
 }
 
-// Under random sequences of submissions, cancellations and faults, no task is run twice, before
-// it is due, without a request or more often than its attempts allow, and no accepted job is
-// lost.
-func TestPromisesOfBatchJobs(t *testing.T) {
-	parameters := gopter.DefaultTestParametersWithSeed(*seed)
-	parameters.MinSuccessfulTests = *tries
-	parameters.MinSize, parameters.MaxSize = 10, 40
-	properties := gopter.NewProperties(parameters)
-	properties.Property("guarantees hold under faults", prop.ForAll(func(steps []uint8, seed int64) string {
-		var violations []string
+// play plays one sequence and returns the violations, or an empty string.
+func play(t *testing.T, steps []uint8, seed int64) string {
+	var violations []string
+	serially(func() {
 		synctest.Test(t, func(t *testing.T) {
 			d := newDeployment(t, seed)
 			for _, step := range steps {
@@ -353,10 +353,33 @@
 			}
 			violations = d.recoverAndCheck()
 		})
-		if len(violations) > 0 {
-			return fmt.Sprint(violations)
+	})
+	if len(violations) > 0 {
+		return fmt.Sprint(violations)
+	}
+	return ""
+}
+
+// Under random sequences of submissions, cancellations and faults, no task is run twice, before
+// it is due, without a request or more often than its attempts allow, and no accepted job is
+// lost. The flag -steps plays one sequence instead.
+func TestPromisesOfBatchJobs(t *testing.T) {
+	if *steps != "" {
+		sequence, err := parseSteps(*steps)
+		if err != nil {
+			t.Fatalf("parseSteps(%q): %v", *steps, err)
+		}
+		if violations := play(t, sequence, *stepsSeed); violations != "" {
+			t.Error(violations)
 		}
-		return ""
+		return
+	}
+	parameters := gopter.DefaultTestParametersWithSeed(*seed)
+	parameters.MinSuccessfulTests = *tries
+	parameters.MinSize, parameters.MaxSize = 10, 40
+	properties := gopter.NewProperties(parameters)
+	properties.Property("guarantees hold under faults", prop.ForAll(func(steps []uint8, seed int64) string {
+		return play(t, steps, seed)
 	}, gen.SliceOf(gen.UInt8()), gen.Int64Range(1, 1<<40)))
 	properties.TestingRun(t)
 }
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -41,6 +43,8 @@
 	RunFails func(target.Run) bool
 	// ClockLag is the fraction by which the targets' clocks run slow, 0.02 at most.
 	ClockLag float64
+	// Log receives what the targets do; nil discards it.
+	Log log.Interface
 
 	mu sync.Mutex
 	// latencies is the source of the calls' delays. Timers for the same instant fire in random
@@ -69,6 +73,7 @@
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
 		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
+	f.event("target begins", log.Fields{"target": listing.ID, "born": listing.Born})
 	f.targets[listing.ID] = &incarnation{
 		listing: listing, started: time.Now(), running: map[target.Task]*run{}, highest: map[target.Task]int{}, nextEnd: 1, clockLag: f.ClockLag,
 	}
@@ -78,6 +83,7 @@
 func (f *Fleet) SetUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.event("target unreachable", log.Fields{"target": id, "unreachable": unreachable})
 	f.targets[id].unreachable = unreachable
 }
 
@@ -126,7 +132,23 @@
 }
 
 func (f *Fleet) addViolation(format string, args ...any) {
-	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+	violation := fmt.Sprintf(format, args...)
+	f.violations = append(f.violations, violation)
+	f.event("VIOLATION", log.Fields{"of": violation})
+}
+
+// event logs what happened on the targets.
+func (f *Fleet) event(event string, fields log.Fields) {
+	if f.Log != nil {
+		f.Log.WithFields(fields).Info(event)
+	}
+}
+
+// end ends a run. The caller holds mu.
+func (f *Fleet) end(t *incarnation, task target.Task, how target.Outcome, at time.Time) {
+	run := target.Run{Task: task, Number: t.running[task].number}
+	f.event("run ends", log.Fields{"target": t.listing.ID, "born": t.listing.Born, "run": run, "how": how, "ago": time.Since(at)})
+	t.end(task, how, at)
 }
 
 // updateRuns ends the runs whose work is finished or whose lease has expired. The caller holds
@@ -149,9 +171,9 @@
 			} else {
 				f.done[task] = true
 			}
-			t.end(task, how, end)
+			f.end(t, task, how, end)
 		case leaseExpiry.Before(now):
-			t.end(task, target.Lapsed, leaseExpiry)
+			f.end(t, task, target.Lapsed, leaseExpiry)
 		}
 	}
 }
@@ -225,6 +247,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.targets[t.listing.ID] == t {
+			f.event("late order is carried out", log.Fields{"target": t.listing.ID, "born": t.listing.Born})
 			f.updateRuns(t)
 			carryOut()
 		}
@@ -261,6 +284,7 @@
 		return target.Late
 	}
 	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
+	f.event("run starts", log.Fields{"target": t.listing.ID, "born": t.listing.Born, "run": order.Run, "token": order.FenceToken, "lease": t.leaseEnd, "clock": t.clock()})
 	f.checkStart(t, order)
 	job := f.jobs[order.Task.Job]
 	work := time.Second
@@ -324,7 +348,7 @@
 	}
 	t.token = token
 	if current := t.running[stop.Task]; current != nil && current.number == stop.Number {
-		t.end(stop.Task, target.Stopped, time.Now())
+		f.end(t, stop.Task, target.Stopped, time.Now())
 	}
 	t.highest[stop.Task] = max(t.highest[stop.Task], stop.Number)
 	return target.Accepted
