The trace of a sequence is printed when the sequence has ended

Cause: writing a line at once gives up the processor, so goroutines changed their order beside it. Change: the lines are collected, and printed at the end of the sequence.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -103,7 +103,7 @@
 // deployment is a small deployment under test: hosts, a store and targets.
 type deployment struct {
 	t             *testing.T
-	started       time.Time
+	trace         *traceLog
 	random        *rand.Rand
 	store         *batchstore.Store
 	fleet         *batchtarget.Fleet
@@ -121,10 +121,10 @@
 
 func newDeployment(t *testing.T, seed int64) *deployment {
 	d := &deployment{
-		t: t, started: time.Now(), random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
+		t: t, trace: &traceLog{started: time.Now()}, random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
 		accepted: map[string]*workload.Job{}, cancelled: map[string]bool{}, incarnation: 1,
 	}
-	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, Log: d.log("fleet"), RunFails: func(run target.Run) bool {
+	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
 	d.configuration = &catalogue.Catalogue{
@@ -140,7 +140,7 @@
 	for i := range targetCount {
 		d.addTarget(i)
 	}
-	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: d.log("calls")}
+	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: d.trace.named("calls")}
 	for i := range hostCount {
 		d.links = append(d.links, &link{Service: d.store})
 		d.stopHost, d.hostEnded = append(d.stopHost, nil), append(d.hostEnded, nil)
@@ -168,11 +168,8 @@
 	}
 }
 
-// log returns a log whose entries are marked with a name.
-func (d *deployment) log(name string) log.Interface { return newLog(d.t, name, d.started) }
-
 func (d *deployment) startHost(i int) {
-	hostLog := d.log(fmt.Sprintf("host%d", i))
+	hostLog := d.trace.named(fmt.Sprintf("host%d", i))
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
@@ -260,7 +257,7 @@
 func (d *deployment) perform(step uint8) {
 	host := d.random.IntN(hostCount)
 	targetIndex := d.random.IntN(targetCount)
-	d.log("test").WithFields(log.Fields{"step": step, "kind": step % stepKinds, "host": host, "target": targetID(targetIndex)}).Info("step")
+	d.trace.named("test").WithFields(log.Fields{"step": step, "kind": step % stepKinds, "host": host, "target": targetID(targetIndex)}).Info("step")
 	switch step % stepKinds {
 	case 0, 1, 2, 3:
 		d.submit()
@@ -301,7 +298,7 @@
 		link.cut.Store(false)
 	}
 	d.store.LoseAnswers(0, 0)
-	d.log("test").Info("all faults have ended")
+	d.trace.named("test").Info("all faults have ended")
 	time.Sleep(recoveryTime)
 	violations := d.fleet.Violations()
 	for _, id := range d.acceptedIDs() {
@@ -352,6 +349,7 @@
 				d.perform(step)
 			}
 			violations = d.recoverAndCheck()
+			d.trace.print(t)
 		})
 	})
 	if len(violations) > 0 {
--- a/internal/coordinator/coordinator_trace_test.go
+++ b/internal/coordinator/coordinator_trace_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,22 +48,41 @@
 	play()
 }
 
-// newLog returns a log that prints each entry with the time since its creation if -trace is
-// set, and otherwise discards them. name marks the entries.
-func newLog(t *testing.T, name string, started time.Time) log.Interface {
+// traceLog collects the lines of a trace. They are printed when the sequence has ended, because
+// writing them at once would let other goroutines run.
+type traceLog struct {
+	mu      sync.Mutex
+	started time.Time
+	lines   []string
+}
+
+// named returns a log that adds its entries to the trace, marked with a name, if -trace is set,
+// and otherwise discards them.
+func (l *traceLog) named(name string) log.Interface {
 	if !*trace {
 		return &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	}
 	return &log.Logger{Level: log.InfoLevel, Handler: log.HandlerFunc(func(entry *log.Entry) error {
-		line := fmt.Sprintf("%9.3f %-5s %s", time.Since(started).Seconds(), name, entry.Message)
+		line := fmt.Sprintf("%9.3f %-5s %s", time.Since(l.started).Seconds(), name, entry.Message)
 		for _, key := range slices.Sorted(maps.Keys(entry.Fields)) {
 			line += fmt.Sprintf(" %s=%v", key, entry.Fields[key])
 		}
-		_, err := fmt.Fprintln(t.Output(), line)
-		return err
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lines = append(l.lines, line)
+		return nil
 	})}
 }
 
+// print prints the lines collected so far.
+func (l *traceLog) print(t *testing.T) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.lines) > 0 {
+		t.Logf("trace:\n%s", strings.Join(l.lines, "\n"))
+	}
+}
+
 // tracedTargets logs the orders to targets and their answers.
 type tracedTargets struct {
 	target.Targets
