Watches of the batch store that begin together end one after another

Cause: watches that began at one instant ended at one instant, and timers for the same instant fire in random order.

--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -182,9 +182,10 @@
 	return out, s.revision, nil
 }
 
-// Watch implements keyvalue.Service. It returns no items if nothing changes within wait.
+// Watch implements keyvalue.Service. It returns no items if nothing changes within wait and one
+// call's latency. The latency makes watches that begin together end one after another.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
-	deadline := time.Now().Add(wait)
+	deadline := time.Now().Add(wait + s.latency())
 	for {
 		if err := s.beginCall(ctx); err != nil {
 			return keyvalue.Events{}, err
