The batch store refuses a write under a lease that has ended

Cause: the store of the proof accepted a key under a lease that had ended, so a transaction applied late put the planner's alive key under no lease. The key then stayed for good, no host competed, and accepted jobs were 'lost'. The platform's store answers 404 to such a write (PROTOCOL.md, kv-txn), and the adapter reports that as Unavailable. Change: the stand-in does the same and writes nothing. No check is changed.

--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -225,7 +225,7 @@
 		s.lostWrites--
 		applyDelay := s.applyDelay
 		if applyDelay == 0 {
-			s.apply(txn)
+			_, _ = s.apply(txn)
 		}
 		s.mu.Unlock()
 		if applyDelay > 0 {
@@ -233,18 +233,19 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.prepare()
-				s.apply(txn)
+				_, _ = s.apply(txn)
 			})
 		}
 		_ = sleep(ctx, callTimeout)
 		return keyvalue.TxnResult{}, errkind.Ambiguous.New("read the keys to learn whether it took effect", "Store.Commit: the answer was lost by a test fault: no answer within 900 ms")
 	}
 	defer s.mu.Unlock()
-	return s.apply(txn), nil
+	return s.apply(txn)
 }
 
 // apply carries out a transaction, or returns the current items if an expected revision differs.
-func (s *Store) apply(txn keyvalue.Txn) keyvalue.TxnResult {
+// It returns an Unavailable error, and does nothing, if a lease to be used has ended.
+func (s *Store) apply(txn keyvalue.Txn) (keyvalue.TxnResult, error) {
 	for _, expect := range txn.Expect {
 		if s.items[expect.Key].Revision != expect.Revision {
 			result := keyvalue.TxnResult{}
@@ -253,7 +254,12 @@
 					result.Current = append(result.Current, item)
 				}
 			}
-			return result
+			return result, nil
+		}
+	}
+	for _, put := range txn.Puts {
+		if _, ok := s.leases[put.Lease]; !ok && put.Lease != 0 {
+			return keyvalue.TxnResult{}, errkind.Unavailable.New("grant a new lease", "Store.Commit: the lease %d no longer exists", put.Lease)
 		}
 	}
 	s.revision++
@@ -269,7 +275,7 @@
 	for _, key := range txn.Deletes {
 		s.remove(key)
 	}
-	return keyvalue.TxnResult{Applied: true, Revision: s.revision}
+	return keyvalue.TxnResult{Applied: true, Revision: s.revision}, nil
 }
 
 // Grant implements keyvalue.Service.
