--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -4,6 +4,9 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -14,17 +17,22 @@
 )
 
 const (
-	// callLatency is the delay before each call.
-	callLatency = 4 * time.Millisecond
+	// minLatency and maxLatency bound the delay before each call.
+	minLatency  = 4 * time.Millisecond
+	maxLatency  = 5 * time.Millisecond
+	latencySeed = 1
 	// callTimeout is how long a call that gets no answer blocks before it returns an error.
 	callTimeout = 900 * time.Millisecond
 )
 
 // Store implements keyvalue.Service in memory. The zero value is ready for use.
 type Store struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]keyvalue.Item
+	mu sync.Mutex
+	// latencies is the source of the calls' delays. Timers for the same instant fire in random
+	// order, so the delays differ.
+	latencies *rand.Rand
+	revision  int64
+	items     map[string]keyvalue.Item
 	// leases and ttl hold, by lease ID, when the lease expires and for how long it is granted.
 	leases map[int64]time.Time
 	ttl    map[int64]time.Duration
@@ -70,8 +78,8 @@
 		s.items, s.leases, s.ttl = map[string]keyvalue.Item{}, map[int64]time.Time{}, map[int64]time.Duration{}
 		s.leaseOf, s.changed, s.revision = map[string]int64{}, make(chan struct{}), 1
 	}
-	for id, expires := range s.leases {
-		if time.Now().After(expires) {
+	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+		if time.Now().After(s.leases[id]) {
 			s.endLease(id)
 		}
 	}
@@ -80,8 +88,8 @@
 // endLease removes a lease and deletes its keys, each in a revision of its own.
 func (s *Store) endLease(id int64) {
 	delete(s.leases, id)
-	for key, lease := range s.leaseOf {
-		if lease == id {
+	for _, key := range slices.Sorted(maps.Keys(s.leaseOf)) {
+		if s.leaseOf[key] == id {
 			s.revision++
 			s.remove(key)
 		}
@@ -107,7 +115,7 @@
 // beginCall waits for the call latency and locks mu. It returns an Ambiguous error, without the
 // lock, if ctx ends or the store is down.
 func (s *Store) beginCall(ctx context.Context) error {
-	if err := sleep(ctx, callLatency); err != nil {
+	if err := sleep(ctx, s.latency()); err != nil {
 		return errkind.Ambiguous.New("call again", "Store.beginCall: the call was cancelled before it reached the store: %v", err)
 	}
 	s.mu.Lock()
@@ -120,6 +128,16 @@
 	return nil
 }
 
+// latency draws the delay before a call.
+func (s *Store) latency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latencies == nil {
+		s.latencies = rand.New(rand.NewPCG(latencySeed, latencySeed))
+	}
+	return minLatency + time.Duration(s.latencies.Int64N(int64(maxLatency-minLatency)))
+}
+
 func sleep(ctx context.Context, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -164,9 +182,10 @@
 	return out, s.revision, nil
 }
 
-// Watch implements keyvalue.Service. It returns no items if nothing changes within wait.
+// Watch implements keyvalue.Service. It returns no items if nothing changes within wait and one
+// call's latency. The latency makes watches that begin together end one after another.
 func (s *Store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
-	deadline := time.Now().Add(wait)
+	deadline := time.Now().Add(wait + s.latency())
 	for {
 		if err := s.beginCall(ctx); err != nil {
 			return keyvalue.Events{}, err
@@ -206,7 +225,7 @@
 		s.lostWrites--
 		applyDelay := s.applyDelay
 		if applyDelay == 0 {
-			s.apply(txn)
+			_, _ = s.apply(txn)
 		}
 		s.mu.Unlock()
 		if applyDelay > 0 {
@@ -214,18 +233,19 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.prepare()
-				s.apply(txn)
+				_, _ = s.apply(txn)
 			})
 		}
 		_ = sleep(ctx, callTimeout)
 		return keyvalue.TxnResult{}, errkind.Ambiguous.New("read the keys to learn whether it took effect", "Store.Commit: the answer was lost by a test fault: no answer within 900 ms")
 	}
 	defer s.mu.Unlock()
-	return s.apply(txn), nil
+	return s.apply(txn)
 }
 
 // apply carries out a transaction, or returns the current items if an expected revision differs.
-func (s *Store) apply(txn keyvalue.Txn) keyvalue.TxnResult {
+// It returns an Unavailable error, and does nothing, if a lease to be used has ended.
+func (s *Store) apply(txn keyvalue.Txn) (keyvalue.TxnResult, error) {
 	for _, expect := range txn.Expect {
 		if s.items[expect.Key].Revision != expect.Revision {
 			result := keyvalue.TxnResult{}
@@ -234,7 +254,12 @@
 					result.Current = append(result.Current, item)
 				}
 			}
-			return result
+			return result, nil
+		}
+	}
+	for _, put := range txn.Puts {
+		if _, ok := s.leases[put.Lease]; !ok && put.Lease != 0 {
+			return keyvalue.TxnResult{}, errkind.Unavailable.New("grant a new lease", "Store.Commit: the lease %d no longer exists", put.Lease)
 		}
 	}
 	s.revision++
@@ -250,7 +275,7 @@
 	for _, key := range txn.Deletes {
 		s.remove(key)
 	}
-	return keyvalue.TxnResult{Applied: true, Revision: s.revision}
+	return keyvalue.TxnResult{Applied: true, Revision: s.revision}, nil
 }
 
 // Grant implements keyvalue.Service.
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -6,17 +6,22 @@
 import (
 	"context"
 	"fmt"
-	"sort"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
 const (
-	// callLatency is the delay before each call.
-	callLatency = 2 * time.Millisecond
+	// minLatency and maxLatency bound the delay before each call.
+	minLatency = 2 * time.Millisecond
+	maxLatency = 3 * time.Millisecond
 	// pollPeriod is how often a waiting renewal looks for ended runs.
 	pollPeriod = 20 * time.Millisecond
 	// callTimeout is how long a call that gets no answer blocks.
@@ -26,6 +31,7 @@
 	// cancelTolerance is for how long after a job's cancellation was acknowledged its tasks may
 	// still be started.
 	cancelTolerance = 3 * time.Second
+	latencySeed     = 1
 )
 
 // Fleet implements target.Targets. Set the exported fields before the first call.
@@ -37,8 +43,15 @@
 	RunFails func(target.Run) bool
 	// ClockLag is the fraction by which the targets' clocks run slow, 0.02 at most.
 	ClockLag float64
+	// StopTime is how long a stop takes. The run continues meanwhile.
+	StopTime time.Duration
+	// Log receives what the targets do; nil discards it.
+	Log log.Interface
 
 	mu sync.Mutex
+	// latencies is the source of the calls' delays. Timers for the same instant fire in random
+	// order, so the delays differ.
+	latencies *rand.Rand
 	// targets holds the current incarnation of each target, by ID.
 	targets   map[string]*incarnation
 	jobs      map[string]*workload.Job
@@ -60,8 +73,9 @@
 	if f.targets == nil {
 		f.targets, f.jobs, f.cancelled = map[string]*incarnation{}, map[string]*workload.Job{}, map[string]time.Time{}
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
-		f.acknowledged = map[target.Task]bool{}
+		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
+	f.event("target begins", log.Fields{"target": listing.ID, "born": listing.Born})
 	f.targets[listing.ID] = &incarnation{
 		listing: listing, started: time.Now(), running: map[target.Task]*run{}, highest: map[target.Task]int{}, nextEnd: 1, clockLag: f.ClockLag,
 	}
@@ -71,6 +85,7 @@
 func (f *Fleet) SetUnreachable(id string, unreachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.event("target unreachable", log.Fields{"target": id, "unreachable": unreachable})
 	f.targets[id].unreachable = unreachable
 }
 
@@ -119,41 +134,57 @@
 }
 
 func (f *Fleet) addViolation(format string, args ...any) {
-	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+	violation := fmt.Sprintf(format, args...)
+	f.violations = append(f.violations, violation)
+	f.event("VIOLATION", log.Fields{"of": violation})
+}
+
+// event logs what happened on the targets.
+func (f *Fleet) event(event string, fields log.Fields) {
+	if f.Log != nil {
+		f.Log.WithFields(fields).Info(event)
+	}
+}
+
+// end ends a run. The caller holds mu.
+func (f *Fleet) end(t *incarnation, task target.Task, how target.Outcome, at time.Time) {
+	run := target.Run{Task: task, Number: t.running[task].number}
+	f.event("run ends", log.Fields{"target": t.listing.ID, "born": t.listing.Born, "run": run, "how": how, "ago": time.Since(at)})
+	t.end(task, how, at)
 }
 
 // updateRuns ends the runs whose work is finished or whose lease has expired. The caller holds
 // mu.
 func (f *Fleet) updateRuns(t *incarnation) {
-	tasks := make([]target.Task, 0, len(t.running))
-	for task := range t.running {
-		tasks = append(tasks, task)
-	}
-	sort.Slice(tasks, func(i, j int) bool { return fmt.Sprint(tasks[i]) < fmt.Sprint(tasks[j]) })
 	now := time.Now()
 	if leaseExpiry := t.leaseExpiry(); leaseExpiry.Before(now) {
 		t.lastExpiry = leaseExpiry
 	}
-	for _, task := range tasks {
-		r := t.running[task]
-		end := r.started.Add(r.work)
-		leaseExpiry := t.leaseExpiry()
-		switch {
-		case !end.After(now) && !end.After(leaseExpiry):
-			how := target.Done
-			if f.runFails(task, r.number) {
-				how = target.Failed
-				f.failures[task]++
-			} else {
-				f.done[task] = true
+	for _, task := range t.runningTasks() {
+		at, stopped := t.running[task].due()
+		switch leaseExpiry := t.leaseExpiry(); {
+		case !at.After(now) && !at.After(leaseExpiry):
+			how := target.Stopped
+			if !stopped {
+				how = f.outcome(task, t.running[task].number)
 			}
-			t.end(task, how, end)
+			f.end(t, task, how, at)
 		case leaseExpiry.Before(now):
-			t.end(task, target.Lapsed, leaseExpiry)
+			f.end(t, task, target.Lapsed, leaseExpiry)
 		}
 	}
 }
 
+// outcome returns how a run ends whose work is finished, and records it.
+func (f *Fleet) outcome(task target.Task, number int) target.Outcome {
+	if f.runFails(task, number) {
+		f.failures[task]++
+		return target.Failed
+	}
+	f.done[task] = true
+	return target.Done
+}
+
 // runFails reports whether a run fails. The members of a gang end alike: RunFails is called for
 // the second member.
 func (f *Fleet) runFails(task target.Task, number int) bool {
@@ -178,7 +209,7 @@
 // reach returns a target with mu locked. If the target is unreachable, it blocks for callTimeout
 // and returns nil without the lock, as it does when ctx ends.
 func (f *Fleet) reach(ctx context.Context, to target.Listing) *incarnation {
-	timer := time.NewTimer(callLatency)
+	timer := time.NewTimer(f.latency())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -196,6 +227,13 @@
 	return t
 }
 
+// latency draws the delay before a call.
+func (f *Fleet) latency() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return minLatency + time.Duration(f.latencies.Int64N(int64(maxLatency-minLatency)))
+}
+
 // leaveUnanswered blocks until the caller of an order would time out, or until ctx ends.
 func (f *Fleet) leaveUnanswered(ctx context.Context) {
 	timer := time.NewTimer(callTimeout)
@@ -216,6 +254,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.targets[t.listing.ID] == t {
+			f.event("late order is carried out", log.Fields{"target": t.listing.ID, "born": t.listing.Born})
 			f.updateRuns(t)
 			carryOut()
 		}
@@ -252,6 +291,7 @@
 		return target.Late
 	}
 	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
+	f.event("run starts", log.Fields{"target": t.listing.ID, "born": t.listing.Born, "run": order.Run, "token": order.FenceToken, "lease": t.leaseEnd, "clock": t.clock()})
 	f.checkStart(t, order)
 	job := f.jobs[order.Task.Job]
 	work := time.Second
@@ -274,7 +314,8 @@
 	if at, ok := f.cancelled[job.ID]; ok && time.Since(at) > cancelTolerance {
 		f.addViolation("cancelled: %s started %s after its job's cancellation", order.Run, time.Since(at))
 	}
-	for _, other := range f.targets {
+	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
+		other := f.targets[id]
 		f.updateRuns(other)
 		if other.running[order.Task] != nil {
 			f.addViolation("twice: %s on %s runs on %s too", order.Run, t.listing.ID, other.listing.ID)
@@ -314,7 +355,8 @@
 	}
 	t.token = token
 	if current := t.running[stop.Task]; current != nil && current.number == stop.Number {
-		t.end(stop.Task, target.Stopped, time.Now())
+		current.stop(time.Now().Add(f.StopTime))
+		f.updateRuns(t)
 	}
 	t.highest[stop.Task] = max(t.highest[stop.Task], stop.Number)
 	return target.Accepted
@@ -340,7 +382,8 @@
 	for _, end := range t.ends {
 		report.Ended = append(report.Ended, end.Ended)
 	}
-	for task, r := range t.running {
+	for _, task := range t.runningTasks() {
+		r := t.running[task]
 		percent := int(100 * time.Since(r.started) / r.work)
 		report.Running = append(report.Running, target.Running{Run: target.Run{Task: task, Number: r.number}, Percent: percent})
 	}
