An order that finds the term unconfirmed ends the term

Callers saw: accepted jobs that stay 'running' for good (LOST). Cause: agent.report, sendStart and sendStop gave up when the store had not confirmed the term for 8 s, but only watchContact, which looks every 150 ms, ended the term. If a renewal confirmed the term in between (a host that was suspended, a store that came back), the term went on with a target that got neither renewals nor orders, and with starts that counted as sent. Class: two places decide the same thing at different moments. Change: whoever finds the term unconfirmed ends it.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -158,7 +158,7 @@
 // watchContact ends the term when the store has not confirmed it within RenewalHorizon.
 func (s *session) watchContact(ctx context.Context) error {
 	for {
-		if s.currentTerm.SinceContact() > RenewalHorizon {
+		if !s.maySendOrders() {
 			return errTermUnconfirmed
 		}
 		if !sleep(ctx, retryInterval) {
@@ -168,8 +168,14 @@
 }
 
 // maySendOrders reports whether the store has confirmed the term within RenewalHorizon, by a
-// clock that counts suspended time.
-func (s *session) maySendOrders() bool { return s.currentTerm.SinceContact() <= RenewalHorizon }
+// clock that counts suspended time. If it has not, the term ends.
+func (s *session) maySendOrders() bool {
+	if s.currentTerm.SinceContact() <= RenewalHorizon {
+		return true
+	}
+	s.cancel(errTermUnconfirmed)
+	return false
+}
 
 // stepLoop runs the scheduler when it is woken or when its next step is due.
 func (s *session) stepLoop(ctx context.Context) error {
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -104,12 +104,15 @@
 
 // deployment is a small deployment under test: hosts, a store and targets.
 type deployment struct {
-	t             *testing.T
-	trace         *traceLog
-	random        *rand.Rand
-	store         *batchstore.Store
-	fleet         *batchtarget.Fleet
-	links         []*link
+	t      *testing.T
+	trace  *traceLog
+	random *rand.Rand
+	store  *batchstore.Store
+	fleet  *batchtarget.Fleet
+	links  []*link
+	// suspended is the time, in nanoseconds, that the hosts' clocks of elapsed time are ahead
+	// because the hosts were suspended.
+	suspended     atomic.Int64
 	stopHost      []context.CancelFunc
 	hostEnded     []chan struct{}
 	intake        *intake.Intake
@@ -190,7 +193,7 @@
 		Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
 	election := &term.Election{
-		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) },
+		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) + time.Duration(d.suspended.Load()) },
 		Lead: planner.Lead, Log: hostLog,
 	}
 	end := d.hostEnded[i]
