A planner that takes over stops the runs of jobs that have ended

Callers could see: tasks that run on after their job was cancelled (UNASKED), for good if they are long-running. Cause: Restore marked such inherited runs as stopped without ordering a stop, and a stop for a target whose address was not known yet was dropped. Class: the order and the note of it are made in two places, and one was forgotten. Change: Restore orders the stop; a stop waits for its target's address. Measured: TestInheritedRunsOfAnEndedJobAreStopped failed before (no stop) and passes.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -245,7 +245,7 @@
 	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
 	s.mu.Unlock()
 	if !to.Address.IsValid() {
-		a.logDropped("stop", stop.Run, "the target's address is not known")
+		a.retryStop(ctx, stop)
 		return
 	}
 	if !s.maySendOrders() {
@@ -257,8 +257,15 @@
 	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
 	s.mu.Lock()
 	s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
-	wanted := s.plan.StopPending(stop)
 	s.mu.Unlock()
+	a.retryStop(ctx, stop)
+}
+
+// retryStop sends a stop again later unless it is no longer needed.
+func (a *agent) retryStop(ctx context.Context, stop scheduler.Stop) {
+	a.session.mu.Lock()
+	wanted := a.session.plan.StopPending(stop)
+	a.session.mu.Unlock()
 	if wanted {
 		a.retryLater(ctx, func() { a.stop(stop) })
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -77,7 +77,7 @@
 		u.members = append(u.members, m)
 		s.attach(m)
 		if ended(u.step.job.phase) {
-			m.stopDecided = now
+			s.stopMember(now, m, "its job had ended when this planner took over")
 		}
 	}
 	u.startedAt = now
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -131,6 +131,20 @@
 	}
 }
 
+// Guards against runs that go on after their job was cancelled: a former planner may have recorded
+// the cancellation without stopping them.
+func TestInheritedRunsOfAnEndedJobAreStopped(t *testing.T) {
+	f := newFixture(t, 1)
+	job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{smallStep(1)}}
+	f.Restore(f.now, job, &wire.ProgressRecord{
+		Phase: wire.JobPhase_JOB_PHASE_CANCELLED, Units: []*wire.UnitRecord{{Run: 1, Targets: []string{"t0"}}},
+	})
+	stops := f.Step(f.now).Stops
+	if len(stops) != 1 || stops[0].Target != "t0" || !f.StopPending(stops[0]) {
+		t.Errorf("have stops %v, want one on t0 that is pending", stops)
+	}
+}
+
 func TestInheritedRunsOnUnknownTargetsWaitForTheFormerPlannersLastLease(t *testing.T) {
 	f := newFixture(t, 2)
 	job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{smallStep(1)}}
