The removal of an expired job's records is conditional on the term

Callers could see: a finished job that runs a second time (TWICE). Cause: the removal was unconditional. The store may carry one out seconds late, after another planner's term has begun and between its reads of jobs and of progress; the job is then known without progress and looks new. Class: a write that is not conditional on the term. Change: the removal expects the term's record as this term wrote it. Measured: TestRemovalOfRecordsAfterTheTermDoesNothing failed before (applied) and passes.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -49,6 +49,8 @@
 	// stopTime is how long a target takes to stop a run.
 	stopTime     = 400 * time.Millisecond
 	targetPrefix = "servers/"
+	// retention is longer than a sequence takes.
+	retention = time.Hour
 	// stepKinds is the number of different steps that perform knows.
 	stepKinds = 14
 )
@@ -57,6 +59,8 @@
 type link struct {
 	keyvalue.Service
 	cut atomic.Bool
+	// removals receives the transactions that delete keys; nil drops them.
+	removals chan<- keyvalue.Txn
 }
 
 var errCut = errkind.Ambiguous.New("reconnect the link", "coordinator_test.link: the host's link to the store is cut")
@@ -66,6 +70,9 @@
 		sleep(ctx, time.Second)
 		return keyvalue.TxnResult{}, errCut
 	}
+	if len(txn.Deletes) > 0 && l.removals != nil {
+		l.removals <- txn
+	}
 	return l.Service.Commit(ctx, txn)
 }
 
@@ -187,7 +194,7 @@
 			return listing(index, incarnation), err
 		},
 		Limits: scheduler.Limits{
-			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: time.Hour,
+			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
 			CheckpointPeriod: time.Second, StopTime: stopTime,
 		},
 		Metrics: metrics.NewRegistry(), Log: hostLog,
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
+	"github.com/eelgrasstide/eelgrasstide/internal/term"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -206,7 +207,9 @@
 	return nil
 }
 
-// expire removes the records of jobs that ended longer ago than the retention period.
+// expire removes the records of jobs that ended longer ago than the retention period. A removal
+// that the store carries out after the term would take progress from a successor that is reading
+// it, and the job would look new.
 func (s *session) expire(ctx context.Context) error {
 	for sleep(ctx, expiryPeriod) {
 		s.mu.Lock()
@@ -214,7 +217,7 @@
 		s.mu.Unlock()
 		for _, id := range expired {
 			keys := []string{records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id)}
-			result, err := s.Store.Commit(ctx, keyvalue.Txn{Deletes: keys})
+			result, err := s.Store.Commit(ctx, keyvalue.Txn{Expect: []keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}}, Deletes: keys})
 			if err != nil || !result.Applied {
 				s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
 				break
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -1,9 +1,13 @@
 package coordinator_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/term"
 )
 
 // Guards against lost jobs: when an order finds that the term has not been confirmed for too long,
@@ -29,3 +33,30 @@
 		}
 	})
 }
+
+// Guards against jobs that run a second time: the removal of an expired job's records that the
+// store carries out late, after another planner's term has begun, must do nothing. Between that
+// planner's reads of jobs and of progress it would make a finished job look new.
+func TestRemovalOfRecordsAfterTheTermDoesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		removals := make(chan keyvalue.Txn, 100)
+		for _, link := range d.links {
+			link.removals = removals
+		}
+		d.submit()
+		time.Sleep(retention + 30*time.Second)
+		removal := <-removals
+		ctx := context.Background()
+		if _, err := d.store.Commit(ctx, keyvalue.Txn{Puts: []keyvalue.Put{{Key: term.RecordKey, Value: []byte("another term")}, {Key: removal.Deletes[0]}}}); err != nil {
+			t.Fatalf("Store.Commit: %v", err)
+		}
+		if result, err := d.store.Commit(ctx, removal); err != nil || result.Applied {
+			t.Errorf("a late removal of %v: have applied %t and error %v, want it refused", removal.Deletes, result.Applied, err)
+		}
+		for i, stop := range d.stopHost {
+			stop()
+			<-d.hostEnded[i]
+		}
+	})
+}
