Ends are acknowledged only to a target that answered the last renewal

Callers could see: a finished task that runs a second time (TWICE). Cause: the numbers of ends start again in each incarnation. A renewal after an unanswered one carried the number that the former incarnation had listed; a new one would forget its own ends up to it unread, and such an end counts as taken note of. Class: a number of one incarnation used for another. Change: after an unanswered renewal the next one acknowledges nothing.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -34,6 +34,9 @@
 	durable     int64
 	delivered   int64
 	incarnation int64
+	// unanswered says that the last renewal was not answered. Only the goroutine that renews
+	// uses it.
+	unanswered  bool
 	renewSignal chan struct{}
 	orderSignal chan struct{}
 
@@ -114,6 +117,7 @@
 			return errTermUnconfirmed
 		}
 		report, reply := a.session.Targets.Renew(ctx, to, order)
+		a.unanswered = reply.Answer != target.Accepted
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
 		case target.Accepted:
@@ -168,6 +172,11 @@
 	}
 	s.plan.RenewalSent(time.Now(), a.targetID)
 	order := target.RenewOrder{FenceToken: s.currentTerm.Token, Acknowledged: acknowledged}
+	if a.unanswered {
+		// The target may have restarted, and its new incarnation would forget ends that have the
+		// same numbers.
+		order.Acknowledged = 0
+	}
 	if status.HasRuns {
 		order.Deadline = s.plan.Deadline(time.Now(), a.targetID)
 		if !status.NeedsReport && !status.Unresponsive && acknowledged == status.LastEnd {
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -119,7 +119,9 @@
 	links  []*link
 	// suspended is the time, in nanoseconds, that the hosts' clocks of elapsed time are ahead
 	// because the hosts were suspended.
-	suspended     atomic.Int64
+	suspended atomic.Int64
+	// renewed is called by the hosts that start from now on; see tracedTargets.
+	renewed       func(id string, order target.RenewOrder, answer target.Answer)
 	stopHost      []context.CancelFunc
 	hostEnded     []chan struct{}
 	intake        *intake.Intake
@@ -186,7 +188,7 @@
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog}, TargetPrefix: targetPrefix, Catalogue: func() *catalogue.Catalogue { return d.configuration },
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: func() *catalogue.Catalogue { return d.configuration },
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
--- a/internal/coordinator/coordinator_trace_test.go
+++ b/internal/coordinator/coordinator_trace_test.go
@@ -87,6 +87,8 @@
 type tracedTargets struct {
 	target.Targets
 	log log.Interface
+	// renewed is called after each renewal; nil for none.
+	renewed func(id string, order target.RenewOrder, answer target.Answer)
 }
 
 func (t *tracedTargets) Start(ctx context.Context, to target.Listing, order target.StartOrder) target.Reply {
@@ -112,5 +114,8 @@
 	entry.WithFields(log.Fields{
 		"answer": reply.Answer, "answering": report.Born, "clock": reply.Clock, "running": report.Running, "ended": report.Ended,
 	}).Info("renewal answered")
+	if t.renewed != nil {
+		t.renewed(to.ID, order, reply.Answer)
+	}
 	return report, reply
 }
