A late attempt to begin a term no longer counts as the next attempt

What callers would see: two planners at the same time, each with a confirmed term, until the former one's next commit fails. Its renewals keep the runs of targets alive that only it reaches.

Cause: two attempts of one host to begin a term write the same record (holder and token). When the first is carried out late and the second's answer is lost, the read of the record alone says that the second began the term. The host then renews the second attempt's lease, while the alive key is under the first one's, which nobody renews; the key expires, and another host begins a term.

The alive key now names its lease as well as the host, and after a lost answer both keys must hold what the attempt wrote. Otherwise the host competes again when the key has expired.

--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -5,7 +5,10 @@
 package term
 
 import (
+	"bytes"
 	"context"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +26,7 @@
 	Prefix = "planner/"
 	// RecordKey holds the record of the current or last term.
 	RecordKey = Prefix + "term"
-	// aliveKey names the planner. It is deleted when the planner's lease expires.
+	// aliveKey names the planner and its lease. It is deleted when that lease expires.
 	aliveKey = Prefix + "alive"
 )
 
@@ -144,7 +147,7 @@
 	}
 	result, err := e.Store.Commit(ctx, keyvalue.Txn{
 		Expect: []keyvalue.Expectation{{Key: RecordKey, Revision: term.Revision}, {Key: aliveKey}},
-		Puts:   []keyvalue.Put{{Key: aliveKey, Value: []byte(e.Name), Lease: lease}},
+		Puts:   []keyvalue.Put{e.alivePut(lease)},
 	})
 	if err != nil {
 		return true
@@ -168,9 +171,17 @@
 // also returns true if the key cannot be read or is absent; the next renewal decides then.
 func (e *Election) ownsAliveKey(ctx context.Context) bool {
 	item, err := e.Store.Get(ctx, aliveKey)
-	return err != nil || item == nil || string(item.Value) == e.Name
+	return err != nil || item == nil || strings.HasPrefix(string(item.Value), e.alivePrefix())
 }
 
+// alivePut returns the write of the alive key under a lease. The value differs for each lease.
+func (e *Election) alivePut(lease int64) keyvalue.Put {
+	value := e.alivePrefix() + strconv.FormatInt(lease, 10)
+	return keyvalue.Put{Key: aliveKey, Value: []byte(value), Lease: lease}
+}
+
+func (e *Election) alivePrefix() string { return e.Name + "/" }
+
 // compete waits until no planner is alive and then tries to begin a term. It returns nil if it
 // did not win one.
 func (e *Election) compete(ctx context.Context) *Term {
@@ -236,21 +247,23 @@
 		e.Log.WithError(err).Error("term: the term's record cannot be encoded; report this as a defect")
 		return nil
 	}
+	recordPut, alivePut := keyvalue.Put{Key: RecordKey, Value: value}, e.alivePut(lease)
 	result, err := e.Store.Commit(ctx, keyvalue.Txn{
 		Expect: []keyvalue.Expectation{{Key: RecordKey, Revision: revision}, {Key: aliveKey}},
-		Puts:   []keyvalue.Put{{Key: RecordKey, Value: value}, {Key: aliveKey, Value: []byte(e.Name), Lease: lease}},
+		Puts:   []keyvalue.Put{recordPut, alivePut},
 	})
 	if err == nil && !result.Applied {
 		return nil
 	}
 	termRevision := result.Revision
 	if err != nil {
-		// The answer was lost: the record in the store shows whether the term began.
-		recordItem, readErr := e.Store.Get(ctx, RecordKey)
-		if readErr != nil || recordItem == nil || string(recordItem.Value) != string(value) {
+		// The answer was lost: the keys in the store show whether the term began. The record
+		// alone does not, as an earlier attempt with another lease writes the same record.
+		items, _, readErr := e.Store.List(ctx, Prefix)
+		if readErr != nil || !holds(items, recordPut) || !holds(items, alivePut) {
 			return nil
 		}
-		termRevision = recordItem.Revision
+		termRevision = findItem(items, RecordKey).Revision
 	}
 	e.lease = lease
 	term := &Term{Token: record.GetToken(), Revision: termRevision, elapsed: e.Elapsed}
@@ -258,6 +271,12 @@
 	return term
 }
 
+// holds reports whether the items include what a write wrote.
+func holds(items []keyvalue.Item, put keyvalue.Put) bool {
+	item := findItem(items, put.Key)
+	return item != nil && bytes.Equal(item.Value, put.Value)
+}
+
 func findItem(items []keyvalue.Item, key string) *keyvalue.Item {
 	for i := range items {
 		if items[i].Key == key {
