A host that has just registered is no longer taken for a dead one

Recovery lists the journals and then asks membership, whose list of hosts may be up to 3 s older (and counts for 6 s).

--- a/internal/host/recovery.go
+++ b/internal/host/recovery.go
@@ -122,7 +122,7 @@
 		r.mu.Unlock()
 		return
 	}
-	if tail.Writer != name && r.host.membership.Liveness(tail.Writer) != membership.Dead {
+	if !r.confirmDead(ctx, name, tail.Writer) {
 		return
 	}
 	if err := r.adopt(ctx, name); err != nil {
@@ -130,6 +130,21 @@
 	}
 }
 
+// confirmDead reads the hosts from the store once more and reports whether all of the given
+// incarnations are dead. A host registers before it writes to a journal, so one that registered
+// after the last reading is known to be alive only from a reading that follows the journal's.
+func (r *recovery) confirmDead(ctx context.Context, incarnations ...string) bool {
+	if err := r.host.membership.RefreshHosts(ctx); err != nil {
+		return false
+	}
+	for _, incarnation := range incarnations {
+		if r.host.membership.Liveness(incarnation) != membership.Dead {
+			return false
+		}
+	}
+	return true
+}
+
 // adopt adopts a journal, unless this host has already done so, and resumes its requests.
 // Errors: Fenced if another host adopted it first, and those of the store.
 func (r *recovery) adopt(ctx context.Context, name string) error {
@@ -157,13 +172,16 @@
 
 // lastRecord makes sure that a dead host's journal has been adopted, so that its owner can
 // append nothing more to it. It then returns the last record of the request, or nil if there
-// is none.
+// is none. Errors: Unavailable if the host is not known to be dead, and those of the store.
 func (r *recovery) lastRecord(ctx context.Context, name, ticket string) (*wire.JournalRecord, error) {
 	requests, tail, err := journal.Load(ctx, r.host.store, name)
 	if err != nil {
 		return nil, err
 	}
 	if tail.Writer == name || tail.Writer == "" {
+		if !r.confirmDead(ctx, name) {
+			return nil, errkind.Unavailable.New("look the request up again", "recovery.lastRecord: incarnation %s is not known to be dead", name)
+		}
 		if err := r.adopt(ctx, name); err != nil && !errkind.Fenced.Is(err) {
 			return nil, err
 		}
