A host's entry in the roster returns after a late write took it away

What operators would see: a running host is missing from the other hosts' lists for as long as it runs, so no host makes its calls to the store through it.

Cause: the host took the lease that it renews for proof that its entry exists. If the first write of the entry is not answered, the host writes it again under a second lease. The first write is unconditional; carried out late, it puts the entry under the first lease, which nobody renews, so the entry is deleted when that ends, while the second lease goes on.

The list that the host reads anyway now shows whether its entry is there; if not, it is written.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,8 @@
 	Address netip.AddrPort
 	Log     log.Interface
 
-	// lease is the ID of the store's lease for this host's entry; 0 before the first one.
+	// lease is the ID of the store's lease for this host's entry; 0 if the entry has to be
+	// written.
 	lease int64
 	mu    sync.Mutex
 	peers []netip.AddrPort
@@ -102,12 +104,17 @@
 	return err
 }
 
-// refresh reads the list of hosts. It skips this host and entries without a valid address.
+// refresh reads the list of hosts. It skips this host and entries without a valid address. If
+// this host's entry is missing, the next call of register writes it: an earlier write that was
+// carried out late may have put it under a lease that has ended since.
 func (r *Roster) refresh(ctx context.Context) error {
 	items, _, err := r.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
+	if !slices.ContainsFunc(items, func(item keyvalue.Item) bool { return item.Key == prefix+r.Name }) {
+		r.lease = 0
+	}
 	var peers []netip.AddrPort
 	inOtherZone := map[netip.AddrPort]bool{}
 	for _, item := range items {
