The stand-in store refuses writes under a lease that has ended

What this changes: the proof of batch jobs could report a job as "lost" through a fault of the stand-in alone.

Cause: the platform's store answers 404 and does nothing if the lease of a put no longer exists. The stand-in wrote the key. A planner's alive key that was written up to 2 s late, after its lease of 1.6 s, was then never deleted, so no host could become the planner and no job went on. The stand-in now refuses such a write, which is what the platform states; no check is weaker.

Evidence: TestWriteUnderEndedLeaseDoesNothing failed before in both cases ("in time", "late") and passes now. The tests of coordinator, term, intake, relay, roster and entry pass.

--- a/internal/standin/batchstore/batchstore.go
+++ b/internal/standin/batchstore/batchstore.go
@@ -197,7 +197,8 @@
 	}
 }
 
-// Commit implements keyvalue.Service. A write whose answer is lost gets an Ambiguous error.
+// Commit implements keyvalue.Service. A write whose answer is lost gets an Ambiguous error, and
+// one under a lease that has ended an Unavailable error.
 func (s *Store) Commit(ctx context.Context, txn keyvalue.Txn) (keyvalue.TxnResult, error) {
 	if err := s.beginCall(ctx); err != nil {
 		return keyvalue.TxnResult{}, err
@@ -206,7 +207,7 @@
 		s.lostWrites--
 		applyDelay := s.applyDelay
 		if applyDelay == 0 {
-			s.apply(txn)
+			_, _ = s.apply(txn)
 		}
 		s.mu.Unlock()
 		if applyDelay > 0 {
@@ -214,18 +215,24 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.prepare()
-				s.apply(txn)
+				_, _ = s.apply(txn)
 			})
 		}
 		_ = sleep(ctx, callTimeout)
 		return keyvalue.TxnResult{}, errkind.Ambiguous.New("read the keys to learn whether it took effect", "Store.Commit: the answer was lost by a test fault: no answer within 900 ms")
 	}
 	defer s.mu.Unlock()
-	return s.apply(txn), nil
+	return s.apply(txn)
 }
 
 // apply carries out a transaction, or returns the current items if an expected revision differs.
-func (s *Store) apply(txn keyvalue.Txn) keyvalue.TxnResult {
+// It does nothing if the lease of a put has ended.
+func (s *Store) apply(txn keyvalue.Txn) (keyvalue.TxnResult, error) {
+	for _, put := range txn.Puts {
+		if _, ok := s.leases[put.Lease]; put.Lease != 0 && !ok {
+			return keyvalue.TxnResult{}, errkind.Unavailable.New("grant a new lease", "Store.apply: the lease of key %s has ended", put.Key)
+		}
+	}
 	for _, expect := range txn.Expect {
 		if s.items[expect.Key].Revision != expect.Revision {
 			result := keyvalue.TxnResult{}
@@ -234,7 +241,7 @@
 					result.Current = append(result.Current, item)
 				}
 			}
-			return result
+			return result, nil
 		}
 	}
 	s.revision++
@@ -250,7 +257,7 @@
 	for _, key := range txn.Deletes {
 		s.remove(key)
 	}
-	return keyvalue.TxnResult{Applied: true, Revision: s.revision}
+	return keyvalue.TxnResult{Applied: true, Revision: s.revision}, nil
 }
 
 // Grant implements keyvalue.Service.
