An adoption whose answer was lost is completed

Evidence: TestAdoptionWithoutAnswerIsCompleted failed before the change (the request had still only its intent a minute after the store answered again) and passes now, 3 of 3 runs. No request runs twice by this: the first adoption had continued nothing.

--- a/internal/host/recovery.go
+++ b/internal/host/recovery.go
@@ -74,15 +74,15 @@
 }
 
 // due reports whether this host should read a journal now: the journal's host is dead, not all
-// requests up to this position are known to have ended, and the delay for this host's rank has
-// passed.
+// requests up to this position are known to have ended, this host has not adopted the journal,
+// and the delay for this host's rank has passed.
 func (r *recovery) due(name, position string) bool {
 	if r.host.membership.Liveness(name) != membership.Dead {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended[name] == position {
+	if r.ended[name] == position || r.adopted[name] {
 		return false
 	}
 	since, ok := r.deadSince[name]
@@ -106,7 +106,8 @@
 }
 
 // adoptIfOpen adopts a journal if it has open requests and the host that last wrote to it is
-// dead.
+// dead. If that host is this one, an earlier adoption took effect without an answer, and the
+// journal is adopted again.
 func (r *recovery) adoptIfOpen(ctx context.Context, name, position string) {
 	requests, tail, err := journal.Load(ctx, r.host.store, name)
 	if err != nil {
@@ -122,7 +123,11 @@
 		r.mu.Unlock()
 		return
 	}
-	if !r.confirmDead(ctx, name, tail.Writer) {
+	writer := tail.Writer
+	if writer == r.host.incarnation {
+		writer = name
+	}
+	if !r.confirmDead(ctx, name, writer) {
 		return
 	}
 	if err := r.adopt(ctx, name); err != nil {
--- a/internal/host/recovery_test.go
+++ b/internal/host/recovery_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,6 +61,56 @@
 	})
 }
 
+// silentStore carries out writes to journals but loses their answers while silent is set.
+type silentStore struct {
+	wire.Store
+	silent atomic.Bool
+}
+
+func (s *silentStore) Put(ctx context.Context, put *wire.PutRequest) (*wire.PutResponse, error) {
+	response, err := s.Store.Put(ctx, put)
+	if err == nil && s.silent.Load() && strings.HasPrefix(put.GetKey(), journal.Prefix) {
+		return nil, errors.New("silentStore.Put: the answer is lost")
+	}
+	return response, err
+}
+
+// An adoption whose write took effect without an answer must be completed: the store names this
+// host as the journal's writer, so no other host would ever continue the requests.
+func TestAdoptionWithoutAnswerIsCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		backend := &silentStore{Store: &keyvalue.KeyValue{}}
+		survivor, dead := newTestHost(ctx, "survivor", backend), newTestHost(ctx, "dead", backend)
+		deadContext, kill := context.WithCancel(ctx)
+		deadEnds := background.Start(deadContext,
+			background.Loop{Name: "journal", Run: func(ctx context.Context) error { return dead.journal.Run(ctx, journalGrace) }},
+		)
+		if err := dead.journal.Append(ctx, &wire.JournalRecord{Kind: wire.RecordKind_RECORD_KIND_INTENT, Id: "dead.1"}); err != nil {
+			t.Errorf("\nhave: error %v from the first append\nwant: none", err)
+		}
+		kill()
+		for range deadEnds {
+		}
+		backend.silent.Store(true)
+		ends := background.Start(ctx,
+			background.Loop{Name: "hostLease", Run: survivor.membership.KeepLease},
+			background.Loop{Name: "hosts", Run: survivor.membership.ReadHosts},
+			background.Loop{Name: "recovery", Run: survivor.recovery.Run},
+		)
+		time.Sleep(3 * recoveryPeriod)
+		backend.silent.Store(false)
+		time.Sleep(time.Minute)
+		requests, _, err := journal.Load(ctx, survivor.store, dead.incarnation)
+		if err != nil || len(requests) != 1 || !journal.Final(requests[0].Last.GetKind()) {
+			t.Errorf("\nhave: requests %v, error %v\nwant: one that has ended", requests, err)
+		}
+		cancel()
+		for range ends {
+		}
+	})
+}
+
 // The journal of a host whose lease has expired must still be adopted.
 func TestJournalOfDeadHostIsAdopted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
