Stops of the batch jobs' proof take 400 ms

Cause: a stop ended its run at once, while the platform's runner may take StopTimeoutMs, in which the run still runs and may end as done. Change: Fleet.StopTime is how long a stop takes; the proof sets it and the scheduler's limit to 400 ms. Zero, as in the soak, ends a run at once as before. A run that is being stopped counts as running in every check.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -46,6 +46,8 @@
 	lease          = 6 * time.Second
 	// recoveryTime is how long all accepted jobs may take to end after the last fault.
 	recoveryTime = 90 * time.Second
+	// stopTime is how long a target takes to stop a run.
+	stopTime     = 400 * time.Millisecond
 	targetPrefix = "servers/"
 	// stepKinds is the number of different steps that perform knows.
 	stepKinds = 14
@@ -124,7 +126,7 @@
 		t: t, trace: &traceLog{started: time.Now()}, random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
 		accepted: map[string]*workload.Job{}, cancelled: map[string]bool{}, incarnation: 1,
 	}
-	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
+	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
 	d.configuration = &catalogue.Catalogue{
@@ -183,7 +185,7 @@
 		},
 		Limits: scheduler.Limits{
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: time.Hour,
-			CheckpointPeriod: time.Second,
+			CheckpointPeriod: time.Second, StopTime: stopTime,
 		},
 		Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -43,6 +43,8 @@
 	RunFails func(target.Run) bool
 	// ClockLag is the fraction by which the targets' clocks run slow, 0.02 at most.
 	ClockLag float64
+	// StopTime is how long a stop takes. The run continues meanwhile.
+	StopTime time.Duration
 	// Log receives what the targets do; nil discards it.
 	Log log.Interface
 
@@ -159,25 +161,30 @@
 		t.lastExpiry = leaseExpiry
 	}
 	for _, task := range t.runningTasks() {
-		r := t.running[task]
-		end := r.started.Add(r.work)
-		leaseExpiry := t.leaseExpiry()
-		switch {
-		case !end.After(now) && !end.After(leaseExpiry):
-			how := target.Done
-			if f.runFails(task, r.number) {
-				how = target.Failed
-				f.failures[task]++
-			} else {
-				f.done[task] = true
+		at, stopped := t.running[task].due()
+		switch leaseExpiry := t.leaseExpiry(); {
+		case !at.After(now) && !at.After(leaseExpiry):
+			how := target.Stopped
+			if !stopped {
+				how = f.outcome(task, t.running[task].number)
 			}
-			f.end(t, task, how, end)
+			f.end(t, task, how, at)
 		case leaseExpiry.Before(now):
 			f.end(t, task, target.Lapsed, leaseExpiry)
 		}
 	}
 }
 
+// outcome returns how a run ends whose work is finished, and records it.
+func (f *Fleet) outcome(task target.Task, number int) target.Outcome {
+	if f.runFails(task, number) {
+		f.failures[task]++
+		return target.Failed
+	}
+	f.done[task] = true
+	return target.Done
+}
+
 // runFails reports whether a run fails. The members of a gang end alike: RunFails is called for
 // the second member.
 func (f *Fleet) runFails(task target.Task, number int) bool {
@@ -348,7 +355,8 @@
 	}
 	t.token = token
 	if current := t.running[stop.Task]; current != nil && current.number == stop.Number {
-		f.end(t, stop.Task, target.Stopped, time.Now())
+		current.stop(time.Now().Add(f.StopTime))
+		f.updateRuns(t)
 	}
 	t.highest[stop.Task] = max(t.highest[stop.Task], stop.Number)
 	return target.Accepted
--- a/internal/standin/batchtarget/incarnation.go
+++ b/internal/standin/batchtarget/incarnation.go
@@ -42,6 +42,25 @@
 	started time.Time
 	// work is how long the run takes.
 	work time.Duration
+	// stopping says that the run is being stopped; it ends at stopsAt unless it ends before.
+	stopping bool
+	stopsAt  time.Time
+}
+
+// due returns when the run ends if its lease lasts, and whether a stop ends it then.
+func (r *run) due() (at time.Time, stopped bool) {
+	end := r.started.Add(r.work)
+	if r.stopping && r.stopsAt.Before(end) {
+		return r.stopsAt, true
+	}
+	return end, false
+}
+
+// stop makes the run end at a time. A run that is being stopped already is not changed.
+func (r *run) stop(at time.Time) {
+	if !r.stopping {
+		r.stopping, r.stopsAt = true, at
+	}
 }
 
 // clock returns the time since the start on the target's own clock.
