Renewals of the batch jobs' proof may be carried out late

Cause: only starts and stops were carried out late, while the platform says it of every call that gets no response. Change: Fleet.DelayRenewals; the steps from 140 that delay orders delay renewals too, by 3 s. The deadline is absolute on the target's clock and capped at its maximum, and the acknowledgement takes effect late.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -51,6 +51,8 @@
 	targetPrefix = "servers/"
 	// stepKinds is the number of different steps that perform knows.
 	stepKinds = 14
+	// variantStep is the first step that performs the harder variant of its kind.
+	variantStep = 10 * stepKinds
 )
 
 // link is a host's connection to the store; cut makes its calls fail.
@@ -284,7 +286,11 @@
 	case 10:
 		d.addTarget(targetIndex)
 	case 11:
-		d.fleet.DelayOrders(targetID(targetIndex), 1+d.random.IntN(3))
+		count := 1 + d.random.IntN(3)
+		d.fleet.DelayOrders(targetID(targetIndex), count)
+		if step >= variantStep {
+			d.fleet.DelayRenewals(targetID(targetIndex), count)
+		}
 	case 12:
 		d.store.Compact()
 	case 13:
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -97,6 +97,14 @@
 	f.targets[id].lateOrders = count
 }
 
+// DelayRenewals makes a target leave its next count renewals unanswered and carry each of them
+// out 3 s later.
+func (f *Fleet) DelayRenewals(id string, count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[id].lateRenewals = count
+}
+
 // ExpectJob records a job that was submitted and may have been accepted, so that its tasks may
 // be started. Starting one with another payload is a violation.
 func (f *Fleet) ExpectJob(job *workload.Job) {
@@ -248,7 +256,6 @@
 // by then.
 func (f *Fleet) carryOutLate(ctx context.Context, t *incarnation, carryOut func()) {
 	const delay = 3 * time.Second
-	t.lateOrders--
 	f.mu.Unlock()
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
@@ -269,6 +276,7 @@
 		return target.Reply{Answer: target.Unanswered}
 	}
 	if t.lateOrders > 0 {
+		t.lateOrders--
 		f.carryOutLate(ctx, t, func() { f.start(t, order) })
 		return target.Reply{Answer: target.Unanswered}
 	}
@@ -342,6 +350,7 @@
 		return target.Reply{Answer: target.Unanswered}
 	}
 	if t.lateOrders > 0 {
+		t.lateOrders--
 		f.carryOutLate(ctx, t, func() { f.stop(t, stop, token) })
 		return target.Reply{Answer: target.Unanswered}
 	}
@@ -368,13 +377,15 @@
 	if t == nil {
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
+	if t.lateRenewals > 0 {
+		t.lateRenewals--
+		f.carryOutLate(ctx, t, func() { f.renew(t, order) })
+		return target.Report{}, target.Reply{Answer: target.Unanswered}
+	}
 	defer f.mu.Unlock()
-	if order.FenceToken < t.token {
-		return target.Report{}, target.Reply{Answer: target.Fenced}
+	if answer := f.renew(t, order); answer != target.Accepted {
+		return target.Report{}, target.Reply{Answer: answer}
 	}
-	t.token = order.FenceToken
-	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
-	f.acknowledge(t, order.Acknowledged)
 	if f.awaitEnd(ctx, t, order.Wait); ctx.Err() != nil {
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
@@ -390,6 +401,17 @@
 	return report, target.Reply{Answer: target.Accepted, Clock: t.clock()}
 }
 
+// renew prolongs the lease and discards the ends that the order acknowledges. The caller holds mu.
+func (f *Fleet) renew(t *incarnation, order target.RenewOrder) target.Answer {
+	if order.FenceToken < t.token {
+		return target.Fenced
+	}
+	t.token = order.FenceToken
+	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
+	f.acknowledge(t, order.Acknowledged)
+	return target.Accepted
+}
+
 // awaitEnd waits until there is a run end to report, at most for wait. The caller holds mu, which
 // is unlocked between two polls.
 func (f *Fleet) awaitEnd(ctx context.Context, t *incarnation, wait time.Duration) {
--- a/internal/standin/batchtarget/incarnation.go
+++ b/internal/standin/batchtarget/incarnation.go
@@ -28,8 +28,10 @@
 	// lastExpiry is when the lease last expired.
 	lastExpiry  time.Time
 	unreachable bool
-	// lateOrders is the number of orders still to be carried out late.
-	lateOrders int
+	// lateOrders is the number of starts and stops still to be carried out late; lateRenewals is
+	// that of renewals.
+	lateOrders   int
+	lateRenewals int
 }
 
 type runEnd struct {
