A restarted target's time of day may have been set back

Cause: in the proof a restarted target was always born after its former incarnations, while Born is a time of day, which may be set back. Change: steps from 224 of the kind that restarts a target make it born before all its former incarnations. Other steps, and all checks, are unchanged.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -53,6 +53,10 @@
 	stepKinds = 14
 	// variantStep is the first step that performs the harder variant of its kind.
 	variantStep = 10 * stepKinds
+	// setBackStep is the first step in which a restarted target's time of day is set back.
+	setBackStep = 16 * stepKinds
+	// firstBorn leaves space for incarnations that begin before the first ones.
+	firstBorn = 1 << 20
 )
 
 // link is a host's connection to the store; cut makes its calls fail.
@@ -142,7 +146,7 @@
 		})
 	}
 	for i := range targetCount {
-		d.addTarget(i)
+		d.addTarget(i, false)
 	}
 	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: d.trace.named("calls")}
 	for i := range hostCount {
@@ -162,10 +166,16 @@
 	}
 }
 
-func (d *deployment) addTarget(i int) {
+// addTarget starts or restarts a target. With setBack its time of day was set back, so it was born
+// before all its former incarnations.
+func (d *deployment) addTarget(i int, setBack bool) {
 	d.incarnation++
-	d.fleet.Add(listing(i, d.incarnation))
-	value := fmt.Appendf(nil, "%d %d", i, d.incarnation)
+	born := firstBorn + d.incarnation
+	if setBack {
+		born = firstBorn - d.incarnation
+	}
+	d.fleet.Add(listing(i, born))
+	value := fmt.Appendf(nil, "%d %d", i, born)
 	_, err := d.store.Commit(context.Background(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: targetPrefix + targetID(i), Value: value}}})
 	if err != nil {
 		d.t.Logf("the store did not answer the write of a target's entry: %v", err)
@@ -284,7 +294,7 @@
 		time.Sleep(time.Duration(d.random.IntN(9)) * time.Second)
 		d.fleet.SetUnreachable(targetID(targetIndex), false)
 	case 10:
-		d.addTarget(targetIndex)
+		d.addTarget(targetIndex, step >= setBackStep)
 	case 11:
 		count := 1 + d.random.IntN(3)
 		d.fleet.DelayOrders(targetID(targetIndex), count)
