--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -252,19 +252,18 @@
 	}
 }
 
-// carryOutLate unlocks mu and carries an order out 3 s from now, unless the target has restarted
-// by then.
-func (f *Fleet) carryOutLate(ctx context.Context, t *incarnation, carryOut func()) {
+// carryOutLate unlocks mu and carries an order out 3 s from now. A target that has restarted by
+// then carries it out too, because an order names its target by ID only.
+func (f *Fleet) carryOutLate(ctx context.Context, id string, carryOut func(t *incarnation)) {
 	const delay = 3 * time.Second
 	f.mu.Unlock()
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.targets[t.listing.ID] == t {
-			f.event("late order is carried out", log.Fields{"target": t.listing.ID, "born": t.listing.Born})
-			f.updateRuns(t)
-			carryOut()
-		}
+		t := f.targets[id]
+		f.event("late order is carried out", log.Fields{"target": id, "born": t.listing.Born})
+		f.updateRuns(t)
+		carryOut(t)
 	})
 	f.leaveUnanswered(ctx)
 }
@@ -277,7 +276,7 @@
 	}
 	if t.lateOrders > 0 {
 		t.lateOrders--
-		f.carryOutLate(ctx, t, func() { f.start(t, order) })
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.start(t, order) })
 		return target.Reply{Answer: target.Unanswered}
 	}
 	defer f.mu.Unlock()
@@ -351,7 +350,7 @@
 	}
 	if t.lateOrders > 0 {
 		t.lateOrders--
-		f.carryOutLate(ctx, t, func() { f.stop(t, stop, token) })
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.stop(t, stop, token) })
 		return target.Reply{Answer: target.Unanswered}
 	}
 	defer f.mu.Unlock()
@@ -379,7 +378,7 @@
 	}
 	if t.lateRenewals > 0 {
 		t.lateRenewals--
-		f.carryOutLate(ctx, t, func() { f.renew(t, order) })
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.renew(t, order) })
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
 	defer f.mu.Unlock()
