--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -99,6 +99,14 @@
 	f.targets[id].lateOrders = count
 }
 
+// DelayRenewals makes a target leave its next count renewals unanswered and carry each of them
+// out 3 s later.
+func (f *Fleet) DelayRenewals(id string, count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets[id].lateRenewals = count
+}
+
 // ExpectJob records a job that was submitted and may have been accepted, so that its tasks may
 // be started. Starting one with another payload is a violation.
 func (f *Fleet) ExpectJob(job *workload.Job) {
@@ -254,20 +262,18 @@
 	}
 }
 
-// carryOutLate unlocks mu and carries an order out 3 s from now, unless the target has restarted
-// by then.
-func (f *Fleet) carryOutLate(ctx context.Context, t *incarnation, carryOut func()) {
+// carryOutLate unlocks mu and carries an order out 3 s from now. A target that has restarted by
+// then carries it out too, because an order names its target by ID only.
+func (f *Fleet) carryOutLate(ctx context.Context, id string, carryOut func(t *incarnation)) {
 	const delay = 3 * time.Second
-	t.lateOrders--
 	f.mu.Unlock()
 	time.AfterFunc(delay, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.targets[t.listing.ID] == t {
-			f.event("late order is carried out", log.Fields{"target": t.listing.ID, "born": t.listing.Born})
-			f.updateRuns(t)
-			carryOut()
-		}
+		t := f.targets[id]
+		f.event("late order is carried out", log.Fields{"target": id, "born": t.listing.Born})
+		f.updateRuns(t)
+		carryOut(t)
 	})
 	f.leaveUnanswered(ctx)
 }
@@ -280,7 +286,8 @@
 	}
 	f.lastStart = time.Now()
 	if t.lateOrders > 0 {
-		f.carryOutLate(ctx, t, func() { f.start(t, order) })
+		t.lateOrders--
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.start(t, order) })
 		return target.Reply{Answer: target.Unanswered}
 	}
 	defer f.mu.Unlock()
@@ -353,7 +360,8 @@
 		return target.Reply{Answer: target.Unanswered}
 	}
 	if t.lateOrders > 0 {
-		f.carryOutLate(ctx, t, func() { f.stop(t, stop, token) })
+		t.lateOrders--
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.stop(t, stop, token) })
 		return target.Reply{Answer: target.Unanswered}
 	}
 	defer f.mu.Unlock()
@@ -379,13 +387,15 @@
 	if t == nil {
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
+	if t.lateRenewals > 0 {
+		t.lateRenewals--
+		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.renew(t, order) })
+		return target.Report{}, target.Reply{Answer: target.Unanswered}
+	}
 	defer f.mu.Unlock()
-	if order.FenceToken < t.token {
-		return target.Report{}, target.Reply{Answer: target.Fenced}
+	if answer := f.renew(t, order); answer != target.Accepted {
+		return target.Report{}, target.Reply{Answer: answer}
 	}
-	t.token = order.FenceToken
-	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
-	f.acknowledge(t, order.Acknowledged)
 	if f.awaitEnd(ctx, t, order.Wait); ctx.Err() != nil {
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
@@ -401,6 +411,17 @@
 	return report, target.Reply{Answer: target.Accepted, Clock: t.clock()}
 }
 
+// renew prolongs the lease and discards the ends that the order acknowledges. The caller holds mu.
+func (f *Fleet) renew(t *incarnation, order target.RenewOrder) target.Answer {
+	if order.FenceToken < t.token {
+		return target.Fenced
+	}
+	t.token = order.FenceToken
+	t.leaseEnd = max(t.leaseEnd, min(order.Deadline, t.clock()+maxLease))
+	f.acknowledge(t, order.Acknowledged)
+	return target.Accepted
+}
+
 // awaitEnd waits until there is a run end to report, at most for wait. The caller holds mu, which
 // is unlocked between two polls.
 func (f *Fleet) awaitEnd(ctx context.Context, t *incarnation, wait time.Duration) {
