A new incarnation is told to refuse starts that its former one left unanswered

Cause: a copy of a start that was not answered may be carried out seconds later (PROTOCOL.md), also by a new incarnation, which knows nothing of the run's end or stop. The planner forgot the unanswered copy when the run was closed. Class: an order in transit outlives the state that it was made for. Change: a target's unanswered starts are remembered for 30 s. When it restarts, the new incarnation gets a stop of each whose run is closed, until it accepts it. A copy that is carried out before that stop arrives cannot be prevented.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -58,6 +58,7 @@
 			s.loseRun(now, m, "the target restarted")
 		}
 	}
+	s.stopLateStarts(now, n)
 }
 
 // stopAgain stops a run, also if its target has accepted a stop of it before.
--- /dev/null
+++ b/internal/scheduler/late_start.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
+)
+
+// lateStartPeriod is how long after it was sent an unanswered start may be carried out.
+const lateStartPeriod = 30 * time.Second
+
+// lateStart is a start that was not answered, so that its target may carry it out later, also
+// when the run has been closed.
+type lateStart struct {
+	sent time.Time
+	// stopBy is the incarnation that has yet to accept a stop of the run; 0 for none.
+	stopBy int64
+}
+
+// recordLateStart records that a start was not answered.
+func (n *node) recordLateStart(now time.Time, run target.Run) {
+	if n.lateStarts == nil {
+		n.lateStarts = map[target.Run]*lateStart{}
+	}
+	n.lateStarts[run] = &lateStart{sent: now}
+}
+
+// dropLateStarts forgets the late starts that can't be carried out any more.
+func (n *node) dropLateStarts(now time.Time) {
+	maps.DeleteFunc(n.lateStarts, func(_ target.Run, late *lateStart) bool { return now.Sub(late.sent) > lateStartPeriod })
+}
+
+// stopLateStarts stops the late starts of closed runs at a new incarnation, which would carry them
+// out since it knows nothing of these runs. Those of open runs are stopped with their members.
+func (s *Scheduler) stopLateStarts(now time.Time, n *node) {
+	n.dropLateStarts(now)
+	runs := slices.SortedFunc(maps.Keys(n.lateStarts), compareRuns)
+	for _, run := range runs {
+		if n.members[run] != nil {
+			continue
+		}
+		n.lateStarts[run].stopBy = n.Born
+		s.stops = append(s.stops, Stop{Run: run, Target: n.ID})
+		s.log("late start stopped", n.fields(now).with(Fields{"run": run, "sent": now.Sub(n.lateStarts[run].sent)}))
+	}
+}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -63,6 +63,8 @@
 	// used is the capacity that members take up; members holds the tasks that may be alive here.
 	used    workload.Resources
 	members map[target.Run]*member
+	// lateStarts holds the starts that were not answered.
+	lateStarts map[target.Run]*lateStart
 	// blockedUntil is when the target may be given new work again after a refusal, a failure or
 	// a stalled run.
 	blockedUntil time.Time
@@ -213,12 +215,16 @@
 				}
 			}
 		}
-		if !n.listed && len(n.members) == 0 {
+		n.dropLateStarts(now)
+		if n.removed() {
 			delete(s.nodes, id)
 		}
 	}
 }
 
+// removed reports whether the target is neither listed nor able to run anything.
+func (n *node) removed() bool { return !n.listed && len(n.members) == 0 && len(n.lateStarts) == 0 }
+
 // loseRun logs and closes a run that is known to be no longer alive on its target.
 func (s *Scheduler) loseRun(now time.Time, m *member, reason string) {
 	s.log("run lost", m.fields(now).with(Fields{"reason": reason}))
@@ -242,7 +248,7 @@
 	// NeedsReport says that the target has not reported to this planner yet, or is
 	// unresponsive.
 	NeedsReport bool
-	// Removed says that the target is not listed and has no runs.
+	// Removed says that the target is neither listed nor able to run anything.
 	Removed bool
 	// LastEnd is the number of the last ended run that was processed.
 	LastEnd int64
@@ -258,7 +264,7 @@
 		return TargetStatus{Removed: true}
 	}
 	return TargetStatus{
-		Listing: n.Listing, HasRuns: len(n.members) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: !n.listed && len(n.members) == 0,
+		Listing: n.Listing, HasRuns: len(n.members) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: n.removed(),
 		Unresponsive: n.unresponsive(now),
 	}
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -149,6 +149,9 @@
 
 // StartAnswered handles the answer to a start.
 func (s *Scheduler) StartAnswered(now time.Time, start Start, reply target.Reply) {
+	if n := s.nodes[start.Target]; n != nil && reply.Answer == target.Unanswered {
+		n.recordLateStart(now, start.Run)
+	}
 	m := s.member(start.Target, start.Run)
 	if m == nil {
 		return
@@ -186,9 +189,15 @@
 // StopAnswered handles the answer to a stop that was sent to the incarnation born. Another
 // incarnation knows nothing of the stop.
 func (s *Scheduler) StopAnswered(now time.Time, stop Stop, born int64, reply target.Reply) {
-	m := s.member(stop.Target, stop.Run)
-	if m != nil && reply.Answer == target.Accepted && m.node.Born == born {
-		m.stopAcknowledged, m.node.lastContact = now, now
+	n := s.nodes[stop.Target]
+	if n == nil || reply.Answer != target.Accepted || n.Born != born {
+		return
+	}
+	if m := n.members[stop.Run]; m != nil {
+		m.stopAcknowledged, n.lastContact = now, now
+	}
+	if late := n.lateStarts[stop.Run]; late != nil {
+		late.stopBy = 0
 	}
 }
 
@@ -231,10 +240,17 @@
 	return "the target has confirmed the run"
 }
 
-// StopPending reports whether a stop has not been acknowledged yet.
+// StopPending reports whether a stop has yet to be accepted.
 func (s *Scheduler) StopPending(stop Stop) bool {
-	m := s.member(stop.Target, stop.Run)
-	return m != nil && m.stopAcknowledged.IsZero()
+	n := s.nodes[stop.Target]
+	if n == nil {
+		return false
+	}
+	if m := n.members[stop.Run]; m != nil {
+		return m.stopAcknowledged.IsZero()
+	}
+	late := n.lateStarts[stop.Run]
+	return late != nil && late.stopBy != 0 && late.stopBy == n.Born
 }
 
 func (s *Scheduler) member(id string, run target.Run) *member {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -241,3 +241,28 @@
 	}
 	f.wantNoStart("run 1 may be alive on t0")
 }
+
+// Guards against a second run of a finished task: a copy of a start that was not answered may be
+// carried out seconds later by a new incarnation, which knows nothing of the run's end.
+func TestLateStartOfAClosedRunIsStoppedAfterARestart(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.report(0, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Done}}})
+	f.Step(f.now)
+	f.advance(2 * time.Second)
+	f.restart(0, firstBorn+1)
+	stops := f.Step(f.now).Stops
+	if len(stops) != 1 || stops[0].Run != first.Run {
+		t.Fatalf("have stops %v, want one of %v", stops, first.Run)
+	}
+	f.StopAnswered(f.now, stops[0], firstBorn+1, target.Reply{Answer: target.Unanswered})
+	if !f.StopPending(stops[0]) {
+		t.Error("the stop is no longer pending, though the new incarnation has not accepted it")
+	}
+	f.StopAnswered(f.now, stops[0], firstBorn+1, target.Reply{Answer: target.Accepted})
+	if f.StopPending(stops[0]) {
+		t.Error("the stop is still pending, though the new incarnation has accepted it")
+	}
+}
