A run that is not known is stopped once per 500 ms, not at each report

Users saw: calls to targets that achieve nothing; a target answered a stop of such a run every 15 ms until the run had ended. Cause: each report that lists the run ordered a stop, the stop woke the renewal, and that brought the next report. Change: the stop is repeated after 500 ms while the run is listed. Measured: TestUnknownRunIsStoppedOncePerInterval had 100 stops in a second before, 2 now.

--- a/internal/scheduler/late_start.go
+++ b/internal/scheduler/late_start.go
@@ -8,8 +8,13 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
 
-// lateStartPeriod is how long after it was sent an unanswered start may be carried out.
-const lateStartPeriod = 30 * time.Second
+const (
+	// lateStartPeriod is how long after it was sent an unanswered start may be carried out.
+	lateStartPeriod = 30 * time.Second
+	// unknownStopInterval is the time between two stops of a run that is not known. A run that is
+	// being stopped is listed until it has ended.
+	unknownStopInterval = 500 * time.Millisecond
+)
 
 // lateStart is a start that was not answered, so that its target may carry it out later, also
 // when the run has been closed.
@@ -46,3 +51,17 @@
 		s.log("late start stopped", n.fields(now).with(Fields{"run": run, "sent": now.Sub(n.lateStarts[run].sent)}))
 	}
 }
+
+// stopUnknown stops a run that a target lists and that is not known, at most once per
+// unknownStopInterval.
+func (s *Scheduler) stopUnknown(now time.Time, n *node, run target.Run) {
+	if last, ok := n.unknownStops[run]; ok && now.Sub(last) < unknownStopInterval {
+		return
+	}
+	if n.unknownStops == nil {
+		n.unknownStops = map[target.Run]time.Time{}
+	}
+	n.unknownStops[run] = now
+	s.stops = append(s.stops, Stop{Run: run, Target: n.ID})
+	s.log("unknown run stopped", n.fields(now).with(Fields{"run": run, "known": n.members[run] != nil}))
+}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -63,8 +63,10 @@
 	// used is the capacity that members take up; members holds the tasks that may be alive here.
 	used    workload.Resources
 	members map[target.Run]*member
-	// lateStarts holds the starts that were not answered.
-	lateStarts map[target.Run]*lateStart
+	// lateStarts holds the starts that were not answered, and unknownStops when a listed run that
+	// is not known was last stopped.
+	lateStarts   map[target.Run]*lateStart
+	unknownStops map[target.Run]time.Time
 	// blockedUntil is when the target may be given new work again after a refusal, a failure or
 	// a stalled run.
 	blockedUntil time.Time
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,6 +32,7 @@
 		listed[running.Run] = true
 		s.running(now, n, running)
 	}
+	maps.DeleteFunc(n.unknownStops, func(run target.Run, _ time.Time) bool { return !listed[run] })
 	if len(report.Ended) >= maxListedEnds {
 		// The report may leave out further ended runs, so a run that it does not list may have
 		// ended as done.
@@ -55,8 +57,7 @@
 func (s *Scheduler) running(now time.Time, n *node, running target.Running) {
 	m := n.members[running.Run]
 	if m == nil || m.state == memberAwaitingWrite {
-		s.stops = append(s.stops, Stop{Run: running.Run, Target: n.ID})
-		s.log("unknown run stopped", n.fields(now).with(Fields{"run": running.Run, "known": m != nil}))
+		s.stopUnknown(now, n, running.Run)
 		return
 	}
 	if m.state != memberConfirmed {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -266,3 +266,18 @@
 		t.Error("the stop is still pending, though the new incarnation has accepted it")
 	}
 }
+
+// Guards against a flood of orders: a run that is being stopped is listed until it has ended.
+func TestUnknownRunIsStoppedOncePerInterval(t *testing.T) {
+	f := newFixture(t, 1)
+	unknown := target.Report{Running: []target.Running{{Run: target.Run{Task: target.Task{Job: "x"}, Number: 1}}}}
+	stops := 0
+	for range 100 {
+		f.report(0, unknown)
+		stops += len(f.Step(f.now).Stops)
+		f.advance(10 * time.Millisecond)
+	}
+	if stops != 2 {
+		t.Errorf("stops of an unknown run in a second of reports: have %d, want 2", stops)
+	}
+}
