A list from before a removal no longer brings the job back as new

Callers could see: a finished job that runs a second time (TWICE). Cause: after a compaction the watch of jobs lists them all. A list that began before the records of an expired job were removed, and is processed after, has the submission, while the planner has forgotten the job; it was taken for a new one. Class: two readings of different moments are combined. Change: the planner remembers the revision of a removal until its watch has reached it, and ignores what is older. Measured: TestListFromBeforeARemovalDoesNotBringTheJobBack failed before (two tasks started after their end was acknowledged) and passes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -77,6 +77,10 @@
 	jobs            int64
 	targetsRevision int64
 
+	// removals holds, by job, the revision in which its records were removed, until the watch of
+	// jobs has reached it. What the store returns from before that revision is out of date.
+	removals map[string]int64
+
 	stepSignal chan struct{}
 	// context ends with the term. It is kept here for the agents, which are started as
 	// targets appear.
@@ -96,7 +100,7 @@
 	defer cancel(nil)
 	s := &session{
 		Coordinator: c, currentTerm: currentTerm, context: ctx, cancel: cancel, agents: map[string]*agent{}, stepSignal: make(chan struct{}, 1),
-		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(),
+		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{},
 	}
 	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
 	err := s.lead(ctx)
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -67,6 +67,8 @@
 	cut atomic.Bool
 	// removals receives the transactions that delete keys; nil drops them.
 	removals chan<- keyvalue.Txn
+	// listDelay is how long, in nanoseconds, the answer to a list is under way.
+	listDelay atomic.Int64
 }
 
 var errCut = errkind.Ambiguous.New("reconnect the link", "coordinator_test.link: the host's link to the store is cut")
@@ -95,7 +97,9 @@
 		sleep(ctx, time.Second)
 		return nil, 0, errCut
 	}
-	return l.Service.List(ctx, prefix)
+	items, revision, err := l.Service.List(ctx, prefix)
+	sleep(ctx, time.Duration(l.listDelay.Load()))
+	return items, revision, err
 }
 
 func (l *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -102,7 +103,7 @@
 
 // processSubmission adds a submitted job to the scheduler. The session's lock must be held.
 func (s *session) processSubmission(id string, item keyvalue.Item, progress map[string]*wire.ProgressRecord) {
-	if s.plan.HasJob(id) {
+	if s.plan.HasJob(id) || item.Revision <= s.removals[id] {
 		return
 	}
 	record := &wire.SubmissionRecord{}
@@ -150,6 +151,7 @@
 		}
 		s.mu.Lock()
 		s.processJobs(items, nil)
+		maps.DeleteFunc(s.removals, func(_ string, revision int64) bool { return revision <= after })
 		s.mu.Unlock()
 		s.requestStep()
 	}
@@ -224,6 +226,7 @@
 			}
 			s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
 			s.mu.Lock()
+			s.removals[id] = result.Revision
 			s.plan.Forget(id)
 			s.mu.Unlock()
 		}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -86,3 +86,29 @@
 		}
 	})
 }
+
+// Guards against a second run of a finished job: a list of all jobs that is under way while the
+// records of an expired job are removed still has its submission, and must not make it look new.
+func TestListFromBeforeARemovalDoesNotBringTheJobBack(t *testing.T) {
+	const margin = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		d.submit()
+		time.Sleep(retention - margin)
+		for _, link := range d.links {
+			link.listDelay.Store(int64(4 * margin))
+		}
+		// The watch has not seen the second job when the history is discarded, so it lists all.
+		d.submit()
+		d.store.Compact()
+		time.Sleep(10 * margin)
+		for _, violation := range d.fleet.Violations() {
+			t.Error(violation)
+		}
+		for i, stop := range d.stopHost {
+			stop()
+			<-d.hostEnded[i]
+		}
+	})
+}
