A target that has reported is granted leases by the clock of its reports

Callers could see: tasks that wait for a dead target (LOST). Cause: a higher clock in the entry of a target replaced the one of its last report. Entries may come from other writers; a lease by such a clock ends, for the planner, long after the target is gone. Change: an entry's clock counts only until the first report. Measured: TestLeaseIsGrantedByTheReportedClock failed before (1 h too late) and passes.

--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -122,7 +122,7 @@
 		}))
 	}
 	n.Listing, n.listed = listing, true
-	if listing.Clock > n.clockLowerBound(now) {
+	if !n.contacted && listing.Clock > n.clockLowerBound(now) {
 		n.clock, n.clockAt = listing.Clock, now
 	}
 }
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -281,3 +281,19 @@
 		t.Errorf("stops of an unknown run in a second of reports: have %d, want 2", stops)
 	}
 }
+
+// Guards against tasks that wait for a dead target: an entry of the store may come from another
+// writer, and a lease by its clock would count as not ended long after the target is gone.
+func TestLeaseIsGrantedByTheReportedClock(t *testing.T) {
+	for name, born := range map[string]int64{"same incarnation": firstBorn, "no incarnation": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			entry := f.listing(0)
+			entry.Born, entry.Clock = born, f.clock()+time.Hour
+			f.TargetListed(f.now, entry)
+			if have, want := f.Deadline(f.now, "t0"), f.clock()+lease; have != want {
+				t.Errorf("Deadline after an entry with another clock: have %s, want %s", have, want)
+			}
+		})
+	}
+}
