--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -127,6 +127,10 @@
 	store  *batchstore.Store
 	fleet  *batchtarget.Fleet
 	links  []*link
+	// born holds the Born of each target's incarnation, and unlisted says that its entry was
+	// removed.
+	born     [targetCount]int64
+	unlisted [targetCount]bool
 	// suspended is the time, in nanoseconds, that the hosts' clocks of elapsed time are ahead
 	// because the hosts were suspended.
 	suspended atomic.Int64
@@ -191,9 +195,30 @@
 		born = firstBorn - d.incarnation
 	}
 	d.fleet.Add(listing(i, born))
-	value := fmt.Appendf(nil, "%d %d", i, born)
-	_, err := d.store.Commit(context.Background(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: targetPrefix + targetID(i), Value: value}}})
-	if err != nil {
+	d.born[i] = born
+	d.list(i)
+}
+
+// list writes the entry of a target.
+func (d *deployment) list(i int) {
+	d.unlisted[i] = false
+	value := fmt.Appendf(nil, "%d %d", i, d.born[i])
+	d.commit(keyvalue.Txn{Puts: []keyvalue.Put{{Key: targetPrefix + targetID(i), Value: value}}})
+}
+
+// toggleEntry removes the entry of a target that runs on, or writes it again.
+func (d *deployment) toggleEntry(i int) {
+	if d.unlisted[i] {
+		d.list(i)
+		return
+	}
+	d.unlisted[i] = true
+	d.commit(keyvalue.Txn{Deletes: []string{targetPrefix + targetID(i)}})
+}
+
+// commit writes to the store as a target does.
+func (d *deployment) commit(txn keyvalue.Txn) {
+	if _, err := d.store.Commit(context.Background(), txn); err != nil {
 		d.t.Logf("the store did not answer the write of a target's entry: %v", err)
 	}
 }
@@ -306,6 +331,10 @@
 	case 8:
 		d.store.LoseAnswers(1+d.random.IntN(3), time.Duration(d.random.IntN(3))*time.Second)
 	case 9:
+		if id := targetID(targetIndex); step >= variantStep {
+			d.fleet.SetMuted(id, !d.fleet.Muted(id))
+			break
+		}
 		d.fleet.SetUnreachable(targetID(targetIndex), true)
 		time.Sleep(time.Duration(d.random.IntN(9)) * time.Second)
 		d.fleet.SetUnreachable(targetID(targetIndex), false)
@@ -320,6 +349,10 @@
 	case 12:
 		d.store.Compact()
 	case 13:
+		if step >= variantStep {
+			d.toggleEntry(targetIndex)
+			break
+		}
 		time.Sleep(time.Duration(d.random.IntN(5)) * time.Second)
 	}
 	time.Sleep(time.Duration(d.random.IntN(700)) * time.Millisecond)
@@ -332,6 +365,12 @@
 		link.cut.Store(false)
 	}
 	d.store.LoseAnswers(0, 0)
+	for i := range targetCount {
+		d.fleet.SetMuted(targetID(i), false)
+		if d.unlisted[i] {
+			d.list(i)
+		}
+	}
 	d.trace.named("test").Info("all faults have ended")
 	time.Sleep(recoveryTime)
 	violations := d.fleet.Violations()
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -49,6 +49,8 @@
 	Log log.Interface
 
 	mu sync.Mutex
+	// muted holds the IDs of the targets whose answers are lost.
+	muted map[string]bool
 	// latencies is the source of the calls' delays. Timers for the same instant fire in random
 	// order, so the delays differ.
 	latencies *rand.Rand
@@ -75,6 +77,7 @@
 	if f.targets == nil {
 		f.targets, f.jobs, f.cancelled = map[string]*incarnation{}, map[string]*workload.Job{}, map[string]time.Time{}
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
+		f.muted = map[string]bool{}
 		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
 	f.event("target begins", log.Fields{"target": listing.ID, "born": listing.Born})
@@ -91,6 +94,22 @@
 	f.targets[id].unreachable = unreachable
 }
 
+// SetMuted sets whether the answers of a target are lost. It carries out its orders while they
+// are, also after a restart.
+func (f *Fleet) SetMuted(id string, muted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.event("target muted", log.Fields{"target": id, "muted": muted})
+	f.muted[id] = muted
+}
+
+// Muted reports whether the answers of a target are lost.
+func (f *Fleet) Muted(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.muted[id]
+}
+
 // DelayOrders makes a target leave its next count orders to start or stop runs unanswered
 // and carry each of them out 3 s later.
 func (f *Fleet) DelayOrders(id string, count int) {
@@ -290,8 +309,9 @@
 		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.start(t, order) })
 		return target.Reply{Answer: target.Unanswered}
 	}
-	defer f.mu.Unlock()
-	return target.Reply{Answer: f.start(t, order), Clock: t.clock()}
+	reply := target.Reply{Answer: f.start(t, order), Clock: t.clock()}
+	f.mu.Unlock()
+	return f.deliver(ctx, to, reply)
 }
 
 func (f *Fleet) start(t *incarnation, order target.StartOrder) target.Answer {
@@ -364,8 +384,9 @@
 		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.stop(t, stop, token) })
 		return target.Reply{Answer: target.Unanswered}
 	}
-	defer f.mu.Unlock()
-	return target.Reply{Answer: f.stop(t, stop, token), Clock: t.clock()}
+	reply := target.Reply{Answer: f.stop(t, stop, token), Clock: t.clock()}
+	f.mu.Unlock()
+	return f.deliver(ctx, to, reply)
 }
 
 func (f *Fleet) stop(t *incarnation, stop target.Run, token int64) target.Answer {
@@ -392,7 +413,25 @@
 		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.renew(t, order) })
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
-	defer f.mu.Unlock()
+	report, reply := f.renewAndReport(ctx, t, order)
+	f.mu.Unlock()
+	if reply = f.deliver(ctx, to, reply); reply.Answer != target.Accepted {
+		return target.Report{}, reply
+	}
+	return report, reply
+}
+
+// deliver returns an answer unless the target's answers are lost.
+func (f *Fleet) deliver(ctx context.Context, to target.Listing, reply target.Reply) target.Reply {
+	if !f.Muted(to.ID) {
+		return reply
+	}
+	f.leaveUnanswered(ctx)
+	return target.Reply{Answer: target.Unanswered}
+}
+
+// renewAndReport carries out a renewal and reports the target's runs. The caller holds mu.
+func (f *Fleet) renewAndReport(ctx context.Context, t *incarnation, order target.RenewOrder) (target.Report, target.Reply) {
 	if answer := f.renew(t, order); answer != target.Accepted {
 		return target.Report{}, target.Reply{Answer: answer}
 	}
