--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -155,7 +155,7 @@
 		t: t, trace: &traceLog{started: time.Now()}, random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
 		accepted: map[string]*workload.Job{}, cancelled: map[string]bool{}, incarnation: 1,
 	}
-	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
+	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, LateOrdersOutliveRestarts: *lateOrdersOutlive, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
 	d.configuration = &catalogue.Catalogue{
