A start that is held back is logged and counted

Cause: starts wait without a line while the term's lease may have ended or their target leaves renewals unanswered, so a log could not tell why a run was late. Change: 'coordinator: a start is held back' with the reason, at most once a second for a target, and the counter target.start.heldBack. Measured: the package's tests pass.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -20,7 +20,8 @@
 	acknowledgeWait = 250 * time.Millisecond
 	// idleCheckPeriod is how often an agent without work checks whether its target was removed.
 	idleCheckPeriod = 2 * time.Second
-	// logInterval limits the log to one line per interval while a target does not accept orders.
+	// logInterval limits the log to one line per interval for a target that does not accept orders
+	// or is not sent them.
 	logInterval = time.Second
 )
 
@@ -43,7 +44,7 @@
 	mu     sync.Mutex
 	stops  []scheduler.Stop
 	starts []scheduler.Start
-	// lastLogged is when an order that was not accepted was last logged.
+	// lastLogged is when logLimited last logged a line.
 	lastLogged time.Time
 }
 
@@ -285,7 +286,7 @@
 func (a *agent) sendStart(ctx context.Context, start scheduler.Start) {
 	s := a.session
 	if !s.maySendStarts() {
-		a.retryLater(ctx, func() { a.start(start) })
+		a.holdBack(ctx, start, "the lease of the term may have ended")
 		return
 	}
 	s.mu.Lock()
@@ -294,7 +295,7 @@
 		wanted := s.plan.StartHeldBack(time.Now(), start)
 		s.mu.Unlock()
 		if wanted {
-			a.retryLater(ctx, func() { a.start(start) })
+			a.holdBack(ctx, start, "the target leaves renewals unanswered")
 		}
 		return
 	}
@@ -343,9 +344,22 @@
 	}).Info("coordinator: a " + kind + " was dropped")
 }
 
-// logUnaccepted logs an order that was not accepted, at most once per logInterval for a
-// target. The metrics count every one.
+// logUnaccepted logs an order that was not accepted. The metrics count every one.
 func (a *agent) logUnaccepted(kind string, fields log.Fields) {
+	a.logLimited("coordinator: a "+kind+" was not accepted", fields)
+}
+
+// holdBack sends a start later, because it may not be sent now.
+func (a *agent) holdBack(ctx context.Context, start scheduler.Start, reason string) {
+	metrics.GetOrRegisterCounter("target.start.heldBack", a.session.Metrics).Inc(1)
+	a.logLimited("coordinator: a start is held back", log.Fields{
+		"run": start.Run, "token": a.session.currentTerm.Token, "contact": a.session.currentTerm.SinceContact(), "reason": reason,
+	})
+	a.retryLater(ctx, func() { a.start(start) })
+}
+
+// logLimited logs at most one line per logInterval for a target.
+func (a *agent) logLimited(message string, fields log.Fields) {
 	a.mu.Lock()
 	due := time.Since(a.lastLogged) >= logInterval
 	if due {
@@ -353,6 +367,6 @@
 	}
 	a.mu.Unlock()
 	if due {
-		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info("coordinator: a " + kind + " was not accepted")
+		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info(message)
 	}
 }
