--- /dev/null
+++ b/internal/coordinator/orders.go
@@ -0,0 +1,166 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
+)
+
+// sendLoop sends the target its orders, stops first.
+func (a *agent) sendLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		stops, starts := a.stops, a.starts
+		a.stops, a.starts = nil, nil
+		a.mu.Unlock()
+		if len(stops)+len(starts) == 0 {
+			wait(ctx, a.orderSignal, idleCheckPeriod)
+			continue
+		}
+		for _, stop := range stops {
+			a.sendStop(ctx, stop)
+		}
+		for _, start := range starts {
+			a.sendStart(ctx, start)
+		}
+		a.session.requestStep()
+		notify(a.renewSignal)
+	}
+}
+
+// retryLater runs order again after retryInterval, unless the term ends before.
+func (a *agent) retryLater(ctx context.Context, order func()) {
+	a.session.group.Go(func() {
+		if sleep(ctx, retryInterval) {
+			order()
+		}
+	})
+}
+
+// sendStop sends a stop. It repeats it until the target accepts it or it is no longer needed.
+func (a *agent) sendStop(ctx context.Context, stop scheduler.Stop) {
+	s := a.session
+	s.mu.Lock()
+	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
+	s.mu.Unlock()
+	if !to.Address.IsValid() {
+		a.retryStop(ctx, stop)
+		return
+	}
+	if !s.maySendOrders() {
+		a.logDropped("stop", stop.Run, "the term is not confirmed")
+		return
+	}
+	sent := time.Now()
+	reply := s.Targets.Stop(ctx, to, stop.Run, s.currentTerm.Token)
+	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
+	s.mu.Lock()
+	s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
+	s.mu.Unlock()
+	a.retryStop(ctx, stop)
+}
+
+// retryStop sends a stop again later unless it is no longer needed.
+func (a *agent) retryStop(ctx context.Context, stop scheduler.Stop) {
+	a.session.mu.Lock()
+	wanted := a.session.plan.StopPending(stop)
+	a.session.mu.Unlock()
+	if wanted {
+		a.retryLater(ctx, func() { a.stop(stop) })
+	}
+}
+
+// sendStart sends a start. It repeats it if the target does not answer; any other answer is
+// final.
+func (a *agent) sendStart(ctx context.Context, start scheduler.Start) {
+	s := a.session
+	if !s.maySendStarts() {
+		a.holdBack(ctx, start, "the lease of the term may have ended")
+		return
+	}
+	s.mu.Lock()
+	status := s.plan.TargetStatus(time.Now(), a.targetID)
+	if status.Unresponsive {
+		wanted := s.plan.StartHeldBack(time.Now(), start)
+		s.mu.Unlock()
+		if wanted {
+			a.holdBack(ctx, start, "the target leaves renewals unanswered")
+		}
+		return
+	}
+	wanted := s.plan.StartSent(start)
+	to := status.Listing
+	payload, checkpoint := s.plan.StartPayload(start)
+	order := target.StartOrder{
+		Run: start.Run, Payload: payload, Checkpoint: checkpoint, FenceToken: s.currentTerm.Token, Deadline: s.plan.Deadline(time.Now(), a.targetID),
+	}
+	s.mu.Unlock()
+	if !wanted {
+		return
+	}
+	sent := time.Now()
+	reply := s.Targets.Start(ctx, to, order)
+	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
+	s.mu.Lock()
+	s.plan.StartAnswered(time.Now(), start, reply)
+	s.mu.Unlock()
+	if reply.Answer == target.Unanswered {
+		a.retryLater(ctx, func() { a.start(start) })
+	}
+}
+
+// recordReply counts and logs the answer to an order. A fenced order ends the term. Each answer
+// to a start is logged, since any is final, and each accepted stop.
+func (a *agent) recordReply(kind string, reply target.Reply, fields log.Fields) {
+	fields["answer"], fields["token"], fields["clock"] = reply.Answer.String(), a.session.currentTerm.Token, reply.Clock
+	metrics.GetOrRegisterCounter("target."+kind+"."+reply.Answer.String(), a.session.Metrics).Inc(1)
+	if reply.Answer == target.Fenced {
+		a.session.cancel(errFenced)
+	}
+	if reply.Answer == target.Accepted || (kind == "start" && reply.Answer != target.Unanswered) {
+		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info("coordinator: a " + kind + " was answered")
+	}
+	if reply.Answer != target.Accepted {
+		a.logUnaccepted(kind, fields)
+	}
+}
+
+// logDropped logs an order that is neither sent nor repeated.
+func (a *agent) logDropped(kind string, run target.Run, reason string) {
+	term := a.session.currentTerm
+	a.session.Log.WithFields(log.Fields{
+		"run": run, "target": a.targetID, "token": term.Token, "contact": term.SinceContact(), "reason": reason,
+	}).Info("coordinator: a " + kind + " was dropped")
+}
+
+// logUnaccepted logs an order that was not accepted. The metrics count every one.
+func (a *agent) logUnaccepted(kind string, fields log.Fields) {
+	a.logLimited("coordinator: a "+kind+" was not accepted", fields)
+}
+
+// holdBack sends a start later, because it may not be sent now.
+func (a *agent) holdBack(ctx context.Context, start scheduler.Start, reason string) {
+	metrics.GetOrRegisterCounter("target.start.heldBack", a.session.Metrics).Inc(1)
+	a.logLimited("coordinator: a start is held back", log.Fields{
+		"run": start.Run, "token": a.session.currentTerm.Token, "contact": a.session.currentTerm.SinceContact(), "reason": reason,
+	})
+	a.retryLater(ctx, func() { a.start(start) })
+}
+
+// logLimited logs at most one line per logInterval for a target.
+func (a *agent) logLimited(message string, fields log.Fields) {
+	a.mu.Lock()
+	due := time.Since(a.lastLogged) >= logInterval
+	if due {
+		a.lastLogged = time.Now()
+	}
+	a.mu.Unlock()
+	if due {
+		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info(message)
+	}
+}
