An idle target that restarts is asked for a report at once

Users saw: a target that restarts without work stands unused for up to 2 s. Cause: a target is given work only after a report of its incarnation, and the goroutine that asks for it looks every 2 s while nothing runs there. Change: an entry that shows a target without a report wakes it. The tests' hosts are stopped in one place.

--- a/internal/coordinator/agent_test.go
+++ b/internal/coordinator/agent_test.go
@@ -28,11 +28,7 @@
 			}
 			unanswered[id] = answer == target.Unanswered
 		}
-		for i, stop := range d.stopHost {
-			stop()
-			<-d.hostEnded[i]
-			d.startHost(i)
-		}
+		d.restartHosts()
 		time.Sleep(5 * time.Second)
 		for range 6 {
 			d.submit()
@@ -53,3 +49,29 @@
 		}
 	})
 }
+
+// Guards against targets that stay unused after a restart: nothing runs on the new incarnation, so
+// only the planner's own question brings the report that it needs.
+func TestIdleTargetIsAskedForAReportWhenItRestarts(t *testing.T) {
+	const bound = 500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		asked := make(chan time.Time, 100)
+		d.renewed = func(id string, _ target.RenewOrder, _ target.Answer) {
+			if id == targetID(0) {
+				asked <- time.Now()
+			}
+		}
+		d.restartHosts()
+		time.Sleep(10*time.Second + 300*time.Millisecond)
+		for len(asked) > 0 {
+			<-asked
+		}
+		restarted := time.Now()
+		d.addTarget(0, false)
+		if at := <-asked; at.Sub(restarted) > bound {
+			t.Errorf("the first renewal was answered %s after the restart, want at most %s", at.Sub(restarted), bound)
+		}
+		d.stopHosts()
+	})
+}
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -258,6 +258,22 @@
 	}()
 }
 
+// stopHosts stops all hosts and waits for their ends.
+func (d *deployment) stopHosts() {
+	for i, stop := range d.stopHost {
+		stop()
+		<-d.hostEnded[i]
+	}
+}
+
+// restartHosts stops and starts all hosts.
+func (d *deployment) restartHosts() {
+	d.stopHosts()
+	for i := range d.stopHost {
+		d.startHost(i)
+	}
+}
+
 func (d *deployment) submit() {
 	d.submitted++
 	id := fmt.Sprintf("%016x", d.submitted)
@@ -388,10 +404,7 @@
 			violations = append(violations, fmt.Sprintf("lost: the accepted job %s has not ended as done or cancelled by its caller: it is %s", id, phase))
 		}
 	}
-	for i, stop := range d.stopHost {
-		stop()
-		<-d.hostEnded[i]
-	}
+	d.stopHosts()
 	return violations
 }
 
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -127,6 +127,9 @@
 		return
 	}
 	s.plan.TargetListed(time.Now(), listing)
+	if a := s.agents[id]; a != nil && s.plan.TargetStatus(time.Now(), id).NeedsReport {
+		notify(a.renewSignal)
+	}
 }
 
 // watchJobs watches submissions and cancellations. It lists them all again when the store has
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -54,10 +54,7 @@
 		if result, err := d.store.Commit(ctx, removal); err != nil || result.Applied {
 			t.Errorf("a late removal of %v: have applied %t and error %v, want it refused", removal.Deletes, result.Applied, err)
 		}
-		for i, stop := range d.stopHost {
-			stop()
-			<-d.hostEnded[i]
-		}
+		d.stopHosts()
 	})
 }
 
@@ -80,10 +77,7 @@
 		if last := d.fleet.LastStart(); last.IsZero() || last.Sub(cut) > term.Lease {
 			t.Errorf("the last start came %s after the store was cut off, want one within %s", last.Sub(cut), term.Lease)
 		}
-		for i, stop := range d.stopHost {
-			stop()
-			<-d.hostEnded[i]
-		}
+		d.stopHosts()
 	})
 }
 
@@ -106,9 +100,6 @@
 		for _, violation := range d.fleet.Violations() {
 			t.Error(violation)
 		}
-		for i, stop := range d.stopHost {
-			stop()
-			<-d.hostEnded[i]
-		}
+		d.stopHosts()
 	})
 }
