A target that needs a report is contacted at once

Callers could see: a finished task that runs a second time (TWICE), and a restarted target that gets no work for up to 2 s. Cause: the agent of a target without runs looks every 2 s whether a renewal is due; the news of a restart did not wake it. Until the new incarnation has an order of this term, it carries out a late start of a former one, of which this planner knows nothing. Class: an order in transit outlives the state that it was made for. Change: each step wakes the agents of targets that need a report. Measured: TestRestartedIdleTargetIsContactedSoon failed before (3 of 5 restarts without an order within 1 s) and passes; the package's tests pass with -race. A copy that is carried out before the planner hears of the restart is not prevented.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -221,7 +221,9 @@
 	}
 	s.enqueue(plan)
 	for _, id := range s.plan.Targets() {
-		s.agent(id)
+		if a := s.agent(id); s.plan.TargetStatus(now, id).NeedsReport {
+			notify(a.renewSignal)
+		}
 	}
 	metrics.GetOrRegisterHistogram("scheduler.stepUs", s.Metrics, metrics.NewUniformSample(histogramSamples)).Update(time.Since(now).Microseconds())
 	if plan.Wake.IsZero() {
