A report alone may show an incarnation with an earlier Born

TestIncarnationWithAnEarlierBornIsTheNewOne shows the restart by an entry first, so no test failed when reports were ordered by Born again. This one does.

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -377,3 +377,15 @@
 		t.Error("the stop is still pending, though the new incarnation has accepted it")
 	}
 }
+
+// Guards against targets that are lost for good: the first sign of an incarnation whose time of day
+// was set back may be its report, since a target that is cut off from the store writes no entry.
+func TestReportWithAnEarlierBornShowsARestart(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.advance(100 * time.Millisecond)
+	f.reportFrom(0, firstBorn-10, f.now, target.Report{})
+	f.wantNextRun("the target has restarted with an earlier Born and does not list run 1")
+}
