An acknowledgement counts as delivered in the incarnation it was meant for

Cause: a renewal with the former incarnation's number is in transit at a restart; the planner reads the entry first, then the new incarnation's answer, and noted that number as delivered there. It never equals the number that is durable, so an idle target always seemed to need a renewal. Class: a number of one incarnation used for another. Change: the number counts only if the renewal was meant for the incarnation that answers.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -121,7 +121,7 @@
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
 		case target.Accepted:
-			if a.processReport(sent, order, report) {
+			if a.processReport(sent, to.Born, order, report) {
 				// Targets answer without delay as long as they have ended runs to list, so
 				// the loop waits here until these can be acknowledged.
 				wait(ctx, a.renewSignal, acknowledgeWait)
@@ -199,13 +199,13 @@
 	return true
 }
 
-// processReport passes a report to the scheduler. It returns true if the effects of some ended
-// runs are not durable yet.
-func (a *agent) processReport(sent time.Time, order target.RenewOrder, report target.Report) bool {
+// processReport passes the report of a renewal that was meant for the incarnation born to the
+// scheduler. It returns true if the effects of some ended runs are not durable yet.
+func (a *agent) processReport(sent time.Time, born int64, order target.RenewOrder, report target.Report) bool {
 	s := a.session
 	s.mu.Lock()
-	before := s.plan.TargetStatus(time.Now(), a.targetID)
-	if report.Born == 0 || report.Born == before.Listing.Born {
+	// The numbers of ends count within one incarnation.
+	if a.incarnation == born && (report.Born == 0 || report.Born == born) {
 		a.delivered = max(a.delivered, order.Acknowledged)
 	}
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
--- a/internal/coordinator/agent_test.go
+++ b/internal/coordinator/agent_test.go
@@ -96,3 +96,64 @@
 		}
 	})
 }
+
+// Guards against a flood of renewals: an acknowledgement that was meant for the former incarnation
+// of a target does not count as delivered to the one that answers.
+func TestAcknowledgementsOfAFormerIncarnationDoNotCountAsDelivered(t *testing.T) {
+	const (
+		acknowledged = 8
+		transit      = 100 * time.Microsecond
+		most         = 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		var mu sync.Mutex
+		restarted, inTransit := false, false
+		renewals := 0
+		d.renewed = func(id string, order target.RenewOrder, _ target.Answer) {
+			if id != targetID(0) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			renewals++
+			inTransit = inTransit || (restarted && order.Acknowledged > 0 && order.Wait > 0)
+			restarted = !inTransit && order.Wait > 0 && order.Acknowledged >= acknowledged
+			if restarted {
+				// The next renewal is in transit when the target restarts, and waits there while the
+				// planner reads the target's entry.
+				time.AfterFunc(transit, func() { d.addTarget(0, false) })
+			}
+		}
+		for i, stop := range d.stopHost {
+			stop()
+			<-d.hostEnded[i]
+			d.startHost(i)
+		}
+		time.Sleep(5 * time.Second)
+		isInTransit := func() bool { mu.Lock(); defer mu.Unlock(); return inTransit }
+		for range 200 {
+			if isInTransit() {
+				break
+			}
+			d.submit()
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(time.Minute)
+		mu.Lock()
+		if !inTransit {
+			t.Error("no renewal with an acknowledgement was in transit at a restart")
+		}
+		renewals = 0
+		mu.Unlock()
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		if renewals > most {
+			t.Errorf("renewals of an idle target in 10 s: have %d, want %d at most", renewals, most)
+		}
+		mu.Unlock()
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
