--- a/internal/coordinator/agent_test.go
+++ b/internal/coordinator/agent_test.go
@@ -75,3 +75,99 @@
 		d.stopHosts()
 	})
 }
+
+// Guards against a second run of a finished task: a restarted target has seen no fencing token, so
+// until it has an order of this term it carries out a late start of a former one.
+func TestRestartedIdleTargetIsContactedSoon(t *testing.T) {
+	const (
+		soon  = time.Second
+		tries = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		var mu sync.Mutex
+		contacts := 0
+		d.renewed = func(id string, _ target.RenewOrder, answer target.Answer) {
+			mu.Lock()
+			defer mu.Unlock()
+			if id == targetID(0) && answer == target.Accepted {
+				contacts++
+			}
+		}
+		d.restartHosts()
+		time.Sleep(5 * time.Second)
+		for try := range tries {
+			mu.Lock()
+			before := contacts
+			mu.Unlock()
+			d.addTarget(0, false)
+			time.Sleep(soon)
+			mu.Lock()
+			if contacts == before {
+				t.Errorf("restart %d: the target has had no order %s after its entry changed", try, soon)
+			}
+			mu.Unlock()
+			time.Sleep(2*time.Second + 137*time.Millisecond)
+		}
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
+
+// Guards against a flood of renewals: an acknowledgement that was meant for the former incarnation
+// of a target does not count as delivered to the one that answers.
+func TestAcknowledgementsOfAFormerIncarnationDoNotCountAsDelivered(t *testing.T) {
+	const (
+		acknowledged = 8
+		transit      = 100 * time.Microsecond
+		most         = 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		var mu sync.Mutex
+		restarted, inTransit := false, false
+		renewals := 0
+		d.renewed = func(id string, order target.RenewOrder, _ target.Answer) {
+			if id != targetID(0) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			renewals++
+			inTransit = inTransit || (restarted && order.Acknowledged > 0 && order.Wait > 0)
+			restarted = !inTransit && order.Wait > 0 && order.Acknowledged >= acknowledged
+			if restarted {
+				// The next renewal is in transit when the target restarts, and waits there while the
+				// planner reads the target's entry.
+				time.AfterFunc(transit, func() { d.addTarget(0, false) })
+			}
+		}
+		d.restartHosts()
+		time.Sleep(5 * time.Second)
+		isInTransit := func() bool { mu.Lock(); defer mu.Unlock(); return inTransit }
+		for range 200 {
+			if isInTransit() {
+				break
+			}
+			d.submit()
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(time.Minute)
+		mu.Lock()
+		if !inTransit {
+			t.Error("no renewal with an acknowledgement was in transit at a restart")
+		}
+		renewals = 0
+		mu.Unlock()
+		time.Sleep(10 * time.Second)
+		mu.Lock()
+		if renewals > most {
+			t.Errorf("renewals of an idle target in 10 s: have %d, want %d at most", renewals, most)
+		}
+		mu.Unlock()
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/scheduler/late_start.go
+++ b/internal/scheduler/late_start.go
@@ -32,6 +32,14 @@
 	n.lateStarts[run] = &lateStart{sent: now}
 }
 
+// keepStopPending lets the stop of a run that is being closed be repeated until the target accepts it,
+// if the run's start may be carried out late.
+func (n *node) keepStopPending(m *member) {
+	if late := n.lateStarts[m.run()]; late != nil && !m.stopDecided.IsZero() && m.stopAcknowledged.IsZero() {
+		late.stopBy = n.Born
+	}
+}
+
 // dropLateStarts forgets the late starts that can't be carried out any more.
 func (n *node) dropLateStarts(now time.Time) {
 	maps.DeleteFunc(n.lateStarts, func(_ target.Run, late *lateStart) bool { return now.Sub(late.sent) > lateStartPeriod })
@@ -55,6 +63,7 @@
 // stopUnknown stops a run that a target lists and that is not known, at most once per
 // unknownStopInterval.
 func (s *Scheduler) stopUnknown(now time.Time, n *node, run target.Run) {
+	s.holdTask(run.Task, now.Add(unresponsiveAfter+longestLease(s.Limits.TaskLease)))
 	if last, ok := n.unknownStops[run]; ok && now.Sub(last) < unknownStopInterval {
 		return
 	}
@@ -65,3 +74,13 @@
 	s.stops = append(s.stops, Stop{Run: run, Target: n.ID})
 	s.log("unknown run stopped", n.fields(now).with(Fields{"run": run, "known": n.members[run] != nil}))
 }
+
+// holdTask lets a task start no earlier than until. A task of which a target lists a run that is not
+// known is held until that run's leases have ended or its end is listed.
+func (s *Scheduler) holdTask(task target.Task, until time.Time) {
+	if j := s.jobs[task.Job]; j != nil {
+		if u := j.unit(task.Occurrence, task.Step, task.Index); u != nil {
+			u.notBefore = until
+		}
+	}
+}
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -297,3 +297,137 @@
 		})
 	}
 }
+
+// Guards against two runs of one task: a repeated start was accepted while an earlier copy is still
+// in transit, and a new incarnation that does not list the run would carry that copy out.
+func TestConfirmedRunWithAnUnansweredCopyWaitsForItsStopAfterARestart(t *testing.T) {
+	tests := map[string]func(f *fixture){
+		"restart shown by the report": func(*fixture) {},
+		"restart shown by the entry":  func(f *fixture) { f.restart(0, firstBorn+1) },
+	}
+	for name, learn := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			first := f.placeFirst()
+			f.send(first)
+			f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+			f.send(first)
+			f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+			f.report(0, target.Report{Running: []target.Running{{Run: first.Run}}})
+			f.advance(100 * time.Millisecond)
+			learn(f)
+			f.advance(100 * time.Millisecond)
+			f.reportFrom(0, firstBorn+1, f.now, target.Report{})
+			stops := f.wantNoStart("the new incarnation has not accepted the stop, so it would carry out the earlier copy")
+			if len(stops) != 1 || !f.StopPending(stops[0]) {
+				t.Fatalf("have stops %v, want one that is pending at the new incarnation", stops)
+			}
+			f.StopAnswered(f.now, stops[0], firstBorn+1, target.Reply{Answer: target.Accepted})
+			f.advance(10 * time.Millisecond)
+			f.reportFrom(0, firstBorn+1, f.now, target.Report{})
+			f.wantNextRun("the new incarnation has accepted the stop and does not list the run")
+		})
+	}
+}
+
+// Guards against two runs of one task: on the clock of a new incarnation the deadline of a draining
+// target's lease is far ahead, so the lease lasts for the maximum.
+func TestLeaseOfADrainingTargetIsWholeAfterARestart(t *testing.T) {
+	f := newFixture(t, 2)
+	f.advance(time.Minute)
+	f.report(0, target.Report{})
+	f.report(1, target.Report{})
+	first := f.placeFirst()
+	draining := f.listing(0)
+	draining.Draining = true
+	f.TargetListed(f.now, draining)
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	sent := f.now
+	f.restart(0, firstBorn+1)
+	for f.now.Sub(sent) < lease {
+		f.report(1, target.Report{})
+		f.wantNoStart("the new incarnation may have been given a whole lease")
+	}
+}
+
+// Guards against two runs of one task: when the leases of a silent new incarnation have ended, its
+// stop is still repeated, because it may carry out a late copy of the start.
+func TestStopOfALateStartOutlivesItsRun(t *testing.T) {
+	f := newFixture(t, 2)
+	f.advance(time.Minute)
+	f.report(0, target.Report{})
+	f.report(1, target.Report{})
+	first := f.placeFirst()
+	f.send(first)
+	f.restart(0, firstBorn+1)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	stops := f.Step(f.now).Stops
+	if len(stops) != 1 {
+		t.Fatalf("have stops %v, want one", stops)
+	}
+	f.advance(lease + 2*time.Second)
+	f.report(1, target.Report{})
+	f.wantNextRun("the leases have ended")
+	if !f.StopPending(stops[0]) {
+		t.Error("the stop is no longer pending, though the new incarnation has not accepted it")
+	}
+	f.StopAnswered(f.now, stops[0], firstBorn+1, target.Reply{Answer: target.Accepted})
+	if f.StopPending(stops[0]) {
+		t.Error("the stop is still pending, though the new incarnation has accepted it")
+	}
+}
+
+// Guards against targets that are lost for good: the first sign of an incarnation whose time of day
+// was set back may be its report, since a target that is cut off from the store writes no entry.
+func TestReportWithAnEarlierBornShowsARestart(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.advance(100 * time.Millisecond)
+	f.reportFrom(0, firstBorn-10, f.now, target.Report{})
+	f.wantNextRun("the target has restarted with an earlier Born and does not list run 1")
+}
+
+// Guards against two runs of one task: a start that gets no answer may be carried out 12 s later,
+// and in a new incarnation its deadline has not passed.
+func TestLateStartAtASilentNewIncarnationKeepsItsTask(t *testing.T) {
+	const latest = 12 * time.Second
+	f := newFixture(t, 2)
+	f.advance(time.Minute)
+	f.report(0, target.Report{})
+	f.report(1, target.Report{})
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	sent := f.now
+	f.restart(0, firstBorn+1)
+	for f.now.Sub(sent) < latest {
+		f.report(1, target.Report{})
+		f.wantNoStart("the new incarnation may carry out the start, and has accepted no stop")
+	}
+}
+
+// Guards against two runs of one task: a report that lists an earlier run as running shows that it is
+// alive, so the task must not start again before that run has ended.
+func TestTaskWaitsForAnEarlierRunThatATargetLists(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unhealthy})
+	stop := f.Step(f.now).Stops[0]
+	f.StopAnswered(f.now, stop, firstBorn, target.Reply{Answer: target.Accepted})
+	f.advance(10 * time.Millisecond)
+	f.report(0, target.Report{})
+	f.advance(10 * time.Millisecond)
+	// The new incarnation has carried the start out late.
+	listed := target.Report{Running: []target.Running{{Run: first.Run}}}
+	f.reportFrom(0, firstBorn+1, f.now, listed)
+	f.advance(100 * time.Millisecond)
+	f.reportFrom(0, firstBorn+1, f.now, listed)
+	f.wantNoStart("t0 lists run 1, which is being stopped")
+	f.reportFrom(0, firstBorn+1, f.now, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Stopped}}})
+	f.wantNextRun("run 1 has ended")
+}
