The first report corrects the end of a lease granted by an entry's clock

Callers could see: tasks that wait for a dead target (LOST). Cause: before a target's first report its entry's clock counts; if that clock is wrong, the lease granted by it ended, for the planner, long after the target was gone, also when the first report had the true clock. Targets cap leases, so at the first report none lasts longer than a whole lease. Change: the first report sets the end of the lease. Measured: TestFirstReportCorrectsTheEndOfTheLease failed before and passes.

--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -17,7 +17,7 @@
 	}
 	if !n.contacted {
 		// A former planner may have granted a whole lease just before it was fenced.
-		n.leaseEnd = max(n.leaseEnd, report.Clock+s.Limits.TaskLease)
+		n.leaseEnd = report.Clock + s.Limits.TaskLease
 		n.recordLease(now, s.Limits.TaskLease)
 	}
 	n.contacted, n.lastContact, n.clock, n.clockAt = true, now, report.Clock, now
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
 // firstBorn is the Born of the targets that the fixture lists.
@@ -443,3 +445,23 @@
 	f.reportFrom(0, firstBorn+1, f.now, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Stopped}}})
 	f.wantNextRun("run 1 has ended")
 }
+
+// Guards against tasks that wait for a dead target: a lease that was granted by the clock of an entry
+// before the first report has ended when that report's clock says so.
+func TestFirstReportCorrectsTheEndOfTheLease(t *testing.T) {
+	f := newFixture(t, 0)
+	job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{smallStep(1)}}
+	f.Restore(f.now, job, &wire.ProgressRecord{
+		Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitRecord{{Run: 1, Targets: []string{"t0"}}},
+	})
+	entry := f.listing(0)
+	entry.Clock = f.clock() + time.Hour
+	f.TargetListed(f.now, entry)
+	f.TargetListed(f.now, f.listing(1))
+	f.Deadline(f.now, "t0")
+	f.report(0, target.Report{Running: []target.Running{{Run: target.Run{Task: target.Task{Job: "a"}, Number: 1}}}})
+	f.RenewalSent(f.now.Add(time.Millisecond), "t0")
+	f.advance(lease + 2*time.Second)
+	f.report(1, target.Report{})
+	f.wantNextRun("t0 has been silent for longer than a lease")
+}
