Late orders of the batch stand-in come 2 to 12 s late

Cause: every late order came 3 s late, so the proof saw one course of events; the troubles of the users' deployments have 2 to 12 s. Change: the delay is drawn from the stand-in's source.

--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -32,6 +32,9 @@
 	// still be started.
 	cancelTolerance = 3 * time.Second
 	latencySeed     = 1
+	// minLateness and maxLateness bound how much later an order is carried out that is delayed.
+	minLateness = 2 * time.Second
+	maxLateness = 12 * time.Second
 )
 
 // Fleet implements target.Targets. Set the exported fields before the first call.
@@ -114,7 +117,7 @@
 }
 
 // DelayOrders makes a target leave its next count orders to start or stop runs unanswered
-// and carry each of them out 3 s later.
+// and carry each of them out 2 to 12 s later.
 func (f *Fleet) DelayOrders(id string, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,7 +125,7 @@
 }
 
 // DelayRenewals makes a target leave its next count renewals unanswered and carry each of them
-// out 3 s later.
+// out 2 to 12 s later.
 func (f *Fleet) DelayRenewals(id string, count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -284,10 +287,10 @@
 	}
 }
 
-// carryOutLate unlocks mu and carries an order out 3 s from now. A target that has restarted by
-// then does so only if LateOrdersOutliveRestarts is set.
+// carryOutLate unlocks mu and carries an order out minLateness to maxLateness from now. A target
+// that has restarted by then does so only if LateOrdersOutliveRestarts is set.
 func (f *Fleet) carryOutLate(ctx context.Context, id string, carryOut func(t *incarnation)) {
-	const delay = 3 * time.Second
+	delay := minLateness + time.Duration(f.latencies.Int64N(int64(maxLateness-minLateness)))
 	received := f.targets[id]
 	f.mu.Unlock()
 	time.AfterFunc(delay, func() {
