--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -43,6 +43,15 @@
 	f.Deadline(f.now, start.Target)
 }
 
+// startFirst submits a job of one task, sends its start with a lease and passes the answer.
+func (f *fixture) startFirst(answer target.Answer) scheduler.Start {
+	f.t.Helper()
+	first := f.placeFirst()
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: answer})
+	return first
+}
+
 // wantNoStart makes the steps of a second and fails if one of them starts a run. It returns the
 // stops.
 func (f *fixture) wantNoStart(reason string) []scheduler.Stop {
@@ -101,9 +110,7 @@
 // one accepted, and an unanswered start may still reach it.
 func TestStopThatTheFormerIncarnationAcceptedIsRepeated(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.startFirst(target.Unanswered)
 	f.Cancel(f.now, "a")
 	stop := f.Step(f.now).Stops[0]
 	f.restart(0, firstBorn+1)
@@ -129,9 +136,7 @@
 	for name, learn := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2)
-			first := f.placeFirst()
-			f.send(first)
-			f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+			first := f.startFirst(target.Accepted)
 			f.advance(100 * time.Millisecond)
 			learn(f, first.Run)
 			if stops := f.wantNoStart("the new incarnation lists the run"); len(stops) > 0 {
@@ -145,9 +150,7 @@
 // list a run shows that it ended with the former one.
 func TestRunThatTheNewIncarnationDoesNotListIsRestarted(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.startFirst(target.Accepted)
 	f.advance(100 * time.Millisecond)
 	f.reportFrom(0, firstBorn+1, f.now, target.Report{})
 	f.wantNextRun("the new incarnation does not list run 1")
@@ -161,9 +164,7 @@
 	f.advance(time.Minute)
 	f.report(0, target.Report{})
 	f.report(1, target.Report{})
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.startFirst(target.Unanswered)
 	f.restart(0, firstBorn+1)
 	f.wantNoStart("the unanswered start may reach the new incarnation")
 }
@@ -172,9 +173,7 @@
 // back, so an incarnation with an earlier Born can be the newer one.
 func TestIncarnationWithAnEarlierBornIsTheNewOne(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.startFirst(target.Accepted)
 	f.advance(100 * time.Millisecond)
 	f.restart(0, firstBorn-10)
 	f.reportFrom(0, firstBorn-10, f.now, target.Report{})
@@ -188,9 +187,7 @@
 // heard of the restart says nothing about the new incarnation.
 func TestLateReportOfTheFormerIncarnationIsIgnored(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.startFirst(target.Accepted)
 	f.advance(100 * time.Millisecond)
 	sent := f.now
 	f.advance(100 * time.Millisecond)
@@ -204,9 +201,7 @@
 // clock would prolong its leases each time while the planner counts on their end.
 func TestUnansweredRenewalsProlongNoLease(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.startFirst(target.Accepted)
 	f.RenewalSent(f.now.Add(time.Millisecond), "t0")
 	f.advance(2 * time.Second)
 	if have := f.Deadline(f.now, "t0"); have != 0 {
@@ -232,9 +227,7 @@
 // carried out, so it is kept until the leases have ended.
 func TestStartThatWasSentStaysOnAnUnresponsiveTarget(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	first := f.startFirst(target.Unanswered)
 	f.RenewalSent(f.now.Add(time.Millisecond), "t0")
 	f.advance(2 * time.Second)
 	f.report(1, target.Report{})
@@ -248,9 +241,7 @@
 // carried out seconds later by a new incarnation, which knows nothing of the run's end.
 func TestLateStartOfAClosedRunIsStoppedAfterARestart(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	first := f.startFirst(target.Unanswered)
 	f.report(0, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Done}}})
 	f.Step(f.now)
 	f.advance(2 * time.Second)
@@ -383,9 +374,7 @@
 // Guards against tasks that wait for good: a start that was not answered is not carried out for ever.
 func TestTaskOfALateStartStartsAgainInTheEnd(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.startFirst(target.Unanswered)
 	f.restart(0, firstBorn+1)
 	f.advance(30 * time.Second)
 	f.report(1, target.Report{})
@@ -396,9 +385,7 @@
 // was set back may be its report, since a target that is cut off from the store writes no entry.
 func TestReportWithAnEarlierBornShowsARestart(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	f.startFirst(target.Accepted)
 	f.advance(100 * time.Millisecond)
 	f.reportFrom(0, firstBorn-10, f.now, target.Report{})
 	f.wantNextRun("the target has restarted with an earlier Born and does not list run 1")
@@ -412,9 +399,7 @@
 	f.advance(time.Minute)
 	f.report(0, target.Report{})
 	f.report(1, target.Report{})
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	f.startFirst(target.Unanswered)
 	sent := f.now
 	f.restart(0, firstBorn+1)
 	for f.now.Sub(sent) < latest {
@@ -427,9 +412,7 @@
 // alive, so the task must not start again before that run has ended.
 func TestTaskWaitsForAnEarlierRunThatATargetLists(t *testing.T) {
 	f := newFixture(t, 2)
-	first := f.placeFirst()
-	f.send(first)
-	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+	first := f.startFirst(target.Unanswered)
 	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unhealthy})
 	stop := f.Step(f.now).Stops[0]
 	f.StopAnswered(f.now, stop, firstBorn, target.Reply{Answer: target.Accepted})
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -92,76 +89,6 @@
 	}
 }
 
-// SetUnreachable sets whether a target is unreachable. Its runs continue while it is.
-func (f *Fleet) SetUnreachable(id string, unreachable bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.event("target unreachable", log.Fields{"target": id, "unreachable": unreachable})
-	f.targets[id].unreachable = unreachable
-}
-
-// SetMuted sets whether the answers of a target are lost. It carries out its orders while they
-// are, also after a restart.
-func (f *Fleet) SetMuted(id string, muted bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.event("target muted", log.Fields{"target": id, "muted": muted})
-	f.muted[id] = muted
-}
-
-// Muted reports whether the answers of a target are lost.
-func (f *Fleet) Muted(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.muted[id]
-}
-
-// DelayOrders makes a target leave its next count orders to start or stop runs unanswered
-// and carry each of them out 2 to 12 s later.
-func (f *Fleet) DelayOrders(id string, count int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.targets[id].lateOrders = count
-}
-
-// DelayRenewals makes a target leave its next count renewals unanswered and carry each of them
-// out 2 to 12 s later.
-func (f *Fleet) DelayRenewals(id string, count int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.targets[id].lateRenewals = count
-}
-
-// ExpectJob records a job that was submitted and may have been accepted, so that its tasks may
-// be started. Starting one with another payload is a violation.
-func (f *Fleet) ExpectJob(job *workload.Job) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.jobs[job.ID] = job
-}
-
-// JobCancelled records that the cancellation of a job was acknowledged.
-func (f *Fleet) JobCancelled(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cancelled[id] = time.Now()
-}
-
-// LastStart returns when the last order to start a run arrived at a reachable target; zero if
-// none has.
-func (f *Fleet) LastStart() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.lastStart
-}
-
-// Violations describes the recorded violations of guarantees.
-func (f *Fleet) Violations() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]string(nil), f.violations...)
-}
-
 // Clock returns the time on a target's clock.
 func (f *Fleet) Clock(id string) time.Duration {
 	f.mu.Lock()
@@ -169,19 +96,6 @@
 	return f.targets[id].clock()
 }
 
-// TaskDone reports whether a run of the task has ended as done.
-func (f *Fleet) TaskDone(task target.Task) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.done[task]
-}
-
-func (f *Fleet) addViolation(format string, args ...any) {
-	violation := fmt.Sprintf(format, args...)
-	f.violations = append(f.violations, violation)
-	f.event("VIOLATION", log.Fields{"of": violation})
-}
-
 // event logs what happened on the targets.
 func (f *Fleet) event(event string, fields log.Fields) {
 	if f.Log != nil {
@@ -237,76 +151,6 @@
 	return f.RunFails != nil && f.RunFails(target.Run{Task: task, Number: number})
 }
 
-// stepDone reports whether all tasks of a step have ended as done. For a gang, one member
-// suffices.
-func (f *Fleet) stepDone(job *workload.Job, occurrence, step int) bool {
-	ended := 0
-	for index := range job.Steps[step].Count {
-		if f.done[target.Task{Job: job.ID, Occurrence: occurrence, Step: step, Index: index}] {
-			ended++
-		}
-	}
-	return ended == job.Steps[step].Count || (ended > 0 && job.Steps[step].Gang)
-}
-
-// reach returns a target with mu locked. If the target is unreachable, it blocks for callTimeout
-// and returns nil without the lock, as it does when ctx ends.
-func (f *Fleet) reach(ctx context.Context, to target.Listing) *incarnation {
-	timer := time.NewTimer(f.latency())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-timer.C:
-	}
-	f.mu.Lock()
-	t := f.targets[to.ID]
-	if t == nil || t.unreachable {
-		f.mu.Unlock()
-		f.leaveUnanswered(ctx)
-		return nil
-	}
-	f.updateRuns(t)
-	return t
-}
-
-// latency draws the delay before a call.
-func (f *Fleet) latency() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return minLatency + time.Duration(f.latencies.Int64N(int64(maxLatency-minLatency)))
-}
-
-// leaveUnanswered blocks until the caller of an order would time out, or until ctx ends.
-func (f *Fleet) leaveUnanswered(ctx context.Context) {
-	timer := time.NewTimer(callTimeout)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// carryOutLate unlocks mu and carries an order out minLateness to maxLateness from now. A target
-// that has restarted by then does so only if LateOrdersOutliveRestarts is set.
-func (f *Fleet) carryOutLate(ctx context.Context, id string, carryOut func(t *incarnation)) {
-	delay := minLateness + time.Duration(f.latencies.Int64N(int64(maxLateness-minLateness)))
-	received := f.targets[id]
-	f.mu.Unlock()
-	time.AfterFunc(delay, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		t := f.targets[id]
-		if t != received && !f.LateOrdersOutliveRestarts {
-			return
-		}
-		f.event("late order is carried out", log.Fields{"target": id, "born": t.listing.Born})
-		f.updateRuns(t)
-		carryOut(t)
-	})
-	f.leaveUnanswered(ctx)
-}
-
 // Start implements target.Targets.
 func (f *Fleet) Start(ctx context.Context, to target.Listing, order target.StartOrder) target.Reply {
 	t := f.reach(ctx, to)
@@ -350,39 +194,6 @@
 	return target.Accepted
 }
 
-// checkStart records the guarantees that starting a run violates: the job was submitted and not
-// cancelled, the task runs only once at a time and not after a known success or too many
-// failures, and the steps before it are done.
-func (f *Fleet) checkStart(t *incarnation, order target.StartOrder) {
-	job := f.jobs[order.Task.Job]
-	if job == nil || job.Payload != order.Payload {
-		f.addViolation("unasked: %s", order.Run)
-		return
-	}
-	if at, ok := f.cancelled[job.ID]; ok && time.Since(at) > cancelTolerance {
-		f.addViolation("cancelled: %s started %s after its job's cancellation", order.Run, time.Since(at))
-	}
-	for _, id := range slices.Sorted(maps.Keys(f.targets)) {
-		other := f.targets[id]
-		f.updateRuns(other)
-		if other.running[order.Task] != nil {
-			f.addViolation("twice: %s on %s runs on %s too", order.Run, t.listing.ID, other.listing.ID)
-		}
-	}
-	f.started[order.Task] = max(f.started[order.Task], order.Number)
-	if f.acknowledged[order.Task] {
-		f.addViolation("twice: %s started after its end was acknowledged", order.Run)
-	}
-	if f.failures[order.Task] >= f.MaxFailures && f.MaxFailures > 0 {
-		f.addViolation("budget: %s started after %d failures", order.Run, f.failures[order.Task])
-	}
-	for _, earlier := range job.Steps[order.Task.Step].After {
-		if !f.stepDone(job, order.Task.Occurrence, earlier) {
-			f.addViolation("order: %s started before step %d was done", order.Run, earlier)
-		}
-	}
-}
-
 // Stop implements target.Targets. A run that was not started can't be started after it.
 func (f *Fleet) Stop(ctx context.Context, to target.Listing, stop target.Run, token int64) target.Reply {
 	t := f.reach(ctx, to)
@@ -431,15 +242,6 @@
 	return report, reply
 }
 
-// deliver returns an answer unless the target's answers are lost.
-func (f *Fleet) deliver(ctx context.Context, to target.Listing, reply target.Reply) target.Reply {
-	if !f.Muted(to.ID) {
-		return reply
-	}
-	f.leaveUnanswered(ctx)
-	return target.Reply{Answer: target.Unanswered}
-}
-
 // renewAndReport carries out a renewal and reports the target's runs. The caller holds mu.
 func (f *Fleet) renewAndReport(ctx context.Context, t *incarnation, order target.RenewOrder) (target.Report, target.Reply) {
 	if answer := f.renew(t, order); answer != target.Accepted {
@@ -487,24 +289,3 @@
 		f.updateRuns(t)
 	}
 }
-
-// acknowledge discards the ends up to the number upTo. A task whose end `done` is acknowledged
-// must not have been started again. Ends before the last expiry of the lease are not checked:
-// the task may have been started elsewhere after that.
-func (f *Fleet) acknowledge(t *incarnation, upTo int64) {
-	kept := t.ends[:0]
-	for _, end := range t.ends {
-		if end.Number > upTo {
-			kept = append(kept, end)
-			continue
-		}
-		if end.Outcome != target.Done || !t.lastExpiry.Before(end.at) {
-			continue
-		}
-		f.acknowledged[end.Task] = true
-		if f.started[end.Task] > end.Run.Number {
-			f.addViolation("twice: %s had ended done on %s and was started again", end.Run, t.listing.ID)
-		}
-	}
-	t.ends = kept
-}
