A placed job is pending until a target has accepted a start

Cause: a job stopped counting when its first task was placed. While targets leave orders unanswered, jobs stay placed for seconds without any task started. Change: a job counts until a target has accepted or listed a run of it, or its record shows that one has ended. Measured: TestJobWhoseStartIsUnansweredIsPending failed before and passes.

--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -64,6 +64,8 @@
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
 	u.run, u.failures, u.checkpoint = int(record.GetRun()), int(record.GetFailures()), record.GetCheckpoint()
+	j := u.step.job
+	j.begun = j.begun || record.GetDone() || record.GetFailures() > 0 || record.GetCheckpoint() != ""
 	if record.GetDone() {
 		u.done = true
 		u.step.unitsLeft--
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if m.state != memberConfirmed {
-		m.state, m.confirmed = memberConfirmed, now
+		m.confirm(now)
 		if m.unit.startedAt.IsZero() {
 			m.unit.startedAt = now
 		}
@@ -94,6 +94,7 @@
 		return
 	}
 	u := m.unit
+	u.step.job.begun = true
 	if end.Checkpoint != "" {
 		u.checkpoint = end.Checkpoint
 	}
@@ -177,7 +178,7 @@
 	case target.Accepted:
 		m.node.lastContact = now
 		if m.state != memberConfirmed {
-			m.state, m.confirmed = memberConfirmed, now
+			m.confirm(now)
 			m.unit.startedAt = now
 		}
 	case target.Unanswered:
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -92,8 +92,10 @@
 // job is a job with the state of its occurrences.
 type job struct {
 	*workload.Job
-	queue       catalogue.Queue
-	phase       wire.JobPhase
+	queue catalogue.Queue
+	phase wire.JobPhase
+	// begun says that a target has accepted or listed a run of the job.
+	begun       bool
 	ended       time.Time
 	occurrences []*occurrence
 	// objective and work are those of one occurrence; work is in target-seconds.
@@ -186,6 +188,12 @@
 	memberConfirmed
 )
 
+// confirm records that the target has accepted or listed the run.
+func (m *member) confirm(now time.Time) {
+	m.state, m.confirmed = memberConfirmed, now
+	m.unit.step.job.begun = true
+}
+
 func (m *member) run() target.Run {
 	s := m.unit.step
 	return target.Run{Number: m.unit.run, Task: target.Task{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.number, Index: m.index}}
@@ -343,11 +351,12 @@
 	}
 }
 
-// PendingJobs counts, by queue, the jobs that run once and of which nothing has started.
+// PendingJobs counts, by queue, the jobs that run once and of which nothing is known to have
+// started.
 func (s *Scheduler) PendingJobs() map[string]int32 {
 	out := map[string]int32{}
 	for _, j := range s.jobs {
-		if j.phase == wire.JobPhase_JOB_PHASE_QUEUED && j.RepeatCount == 0 {
+		if !j.begun && !ended(j.phase) && j.RepeatCount == 0 {
 			out[j.Queue]++
 		}
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -291,3 +291,20 @@
 func (f *fixture) runsOn(i int, job string) bool {
 	return f.TargetStatus(f.now, fmt.Sprintf("t%d", i)).HasRuns && f.HasJob(job)
 }
+
+// Guards against jobs that are said not to wait: a job that was placed has not begun until a target
+// has accepted a start.
+func TestJobWhoseStartIsUnansweredIsPending(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("a", "batch", smallStep(1))
+	start := f.Step(f.now).Starts[0]
+	f.StartSent(start)
+	f.StartAnswered(f.now, start, target.Reply{Answer: target.Unanswered})
+	if have := f.PendingJobs()["batch"]; have != 1 {
+		t.Errorf("pending jobs after an unanswered start: have %d, want 1", have)
+	}
+	f.StartAnswered(f.now, start, target.Reply{Answer: target.Accepted})
+	if have := f.PendingJobs()["batch"]; have != 0 {
+		t.Errorf("pending jobs after an accepted start: have %d, want 0", have)
+	}
+}
