Hosts of the soak have loopback IPs of their own

Cause: host-2 had not started: 'listen tcp 127.0.0.1:46617: bind: address already in use' is all that its log has. The soak chose a free port, gave it back, and before the host listened the kernel gave it to another listener, which answered 404. Change: each host has a loopback IP that no other listener uses.

--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -37,16 +36,6 @@
 	version int64
 }
 
-// freeAddress returns a loopback address with a free port that the kernel chose.
-func freeAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String()), nil
-}
-
 // newHost writes the settings file of a host and opens its link to the store.
 func newHost(name, zone, bin, dir string, store netip.AddrPort) (*host, error) {
 	link, err := newProxy(store)
@@ -55,10 +44,8 @@
 	}
 	h := &host{store: link, dir: dir, bin: bin}
 	h.Host = platformtest.Host{Name: name, Zone: zone, Store: link.address, Grace: gracePeriod, TaskLease: taskLease}
-	for _, listen := range []*netip.AddrPort{&h.Callers, &h.Ready, &h.Hosts} {
-		if *listen, err = freeAddress(); err != nil {
-			return nil, err
-		}
+	if err := freeAddresses(nextIP(), &h.Callers, &h.Ready, &h.Hosts); err != nil {
+		return nil, err
 	}
 	return h, os.WriteFile(h.settingsPath(), h.Settings(), 0o600)
 }
