The whole lease that a restart counts on is guarded by a test again

Change: a test with a start that the target accepted. Measured: TestAcceptedRunOfADrainingTargetHasAWholeLeaseAfterARestart fails without the rule and passes with it.

--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -344,6 +344,27 @@
 	}
 }
 
+// Guards against two runs of one task: on the clock of a new incarnation the short lease of a draining
+// target is a whole one, and a run that it accepted has no unanswered start to wait for.
+func TestAcceptedRunOfADrainingTargetHasAWholeLeaseAfterARestart(t *testing.T) {
+	f := newFixture(t, 2)
+	f.advance(time.Minute)
+	f.report(0, target.Report{})
+	f.report(1, target.Report{})
+	first := f.placeFirst()
+	draining := f.listing(0)
+	draining.Draining = true
+	f.TargetListed(f.now, draining)
+	f.send(first)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Accepted})
+	accepted := f.now
+	f.restart(0, firstBorn+1)
+	for f.now.Sub(accepted) < lease {
+		f.report(1, target.Report{})
+		f.wantNoStart("the new incarnation may have accepted the run")
+	}
+}
+
 // Guards against two runs of one task: a silent new incarnation may carry out a late copy of a start
 // after the leases have ended, so the task waits and the stop is repeated until it is accepted.
 func TestLateStartAtASilentNewIncarnationIsStoppedFirst(t *testing.T) {
