--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -87,8 +87,8 @@
 
 // setDurable records that the effects of ended runs are durable. The session's lock must be
 // held.
-func (a *agent) setDurable(last endNumber) {
-	a.durable = max(a.durableIn(last.incarnation), last.number)
+func (a *agent) setDurable(last scheduler.EndNumber) {
+	a.durable = max(a.durableIn(last.Born), last.Number)
 	notify(a.renewSignal)
 }
 
--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -30,22 +30,15 @@
 	writes map[string]*wire.ProgressRecord
 	starts []scheduler.Start
 	// processed holds, by target, the last ended run whose effect is in the writes.
-	processed map[string]endNumber
+	processed map[string]scheduler.EndNumber
 	// pending counts the pending jobs by queue, and speeds holds the logarithms of the targets'
 	// speeds; nil if they are not to be written.
 	pending map[string]int32
 	speeds  map[string]float32
 }
 
-// endNumber is the number of an ended run in one incarnation of a target; numbers start
-// again in each incarnation.
-type endNumber struct {
-	incarnation int64
-	number      int64
-}
-
 func newBatch() batch {
-	return batch{writes: map[string]*wire.ProgressRecord{}, processed: map[string]endNumber{}}
+	return batch{writes: map[string]*wire.ProgressRecord{}, processed: map[string]scheduler.EndNumber{}}
 }
 
 // enqueue adds a plan to the next commit. The session's lock must be held.
@@ -54,12 +47,7 @@
 		s.nextBatch.writes[write.Job] = write.Record
 	}
 	s.nextBatch.starts = append(s.nextBatch.starts, plan.Starts...)
-	for _, id := range s.plan.Targets() {
-		status := s.plan.TargetStatus(time.Now(), id)
-		if status.LastEnd > s.agent(id).durableIn(status.Listing.Born) {
-			s.nextBatch.processed[id] = endNumber{incarnation: status.Listing.Born, number: status.LastEnd}
-		}
-	}
+	maps.Copy(s.nextBatch.processed, plan.Ends)
 	if len(s.nextBatch.writes) > 0 || len(s.nextBatch.processed) > 0 {
 		select {
 		case s.commitSignal <- struct{}{}:
@@ -102,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, processed := range written.processed {
-		if s.plan.TargetStatus(time.Now(), id).Listing.Born == processed.incarnation {
+		if s.plan.TargetStatus(time.Now(), id).Listing.Born == processed.Born {
 			s.agent(id).setDurable(processed)
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -34,7 +34,9 @@
 	// heartbeats.
 	heartbeatInterval = 250 * time.Millisecond
 	expiryPeriod      = 5 * time.Second
-	histogramSamples  = 256
+	// reportCheckInterval is the time between two checks for targets that have not reported.
+	reportCheckInterval = 100 * time.Millisecond
+	histogramSamples    = 256
 )
 
 var (
@@ -90,6 +92,8 @@
 	// nextBatch holds what waits for the next commit.
 	nextBatch    batch
 	commitSignal chan struct{}
+	// reportsRequested is when targets that have not reported were last looked for.
+	reportsRequested time.Time
 	// pending holds the counts of pending jobs, by queue, that were last sent to the store.
 	pending map[string]int32
 }
@@ -220,12 +224,7 @@
 		s.agent(stop.Target).stop(stop)
 	}
 	s.enqueue(plan)
-	for _, id := range s.plan.Targets() {
-		if a := s.agent(id); s.plan.TargetStatus(now, id).NeedsReport {
-			// An idle target gets no work before it has reported.
-			notify(a.renewSignal)
-		}
-	}
+	s.requestReports(now)
 	metrics.GetOrRegisterHistogram("scheduler.stepUs", s.Metrics, metrics.NewUniformSample(histogramSamples)).Update(time.Since(now).Microseconds())
 	if plan.Wake.IsZero() {
 		return maxStepInterval
@@ -233,6 +232,19 @@
 	return min(maxStepInterval, max(0, plan.Wake.Sub(now)))
 }
 
+// requestReports lets the agents of targets that have not reported ask for a report: such targets
+// get no work. It starts the agents of new targets. It does so at most once per reportCheckInterval.
+// The session's lock must be held.
+func (s *session) requestReports(now time.Time) {
+	if now.Sub(s.reportsRequested) < reportCheckInterval {
+		return
+	}
+	s.reportsRequested = now
+	for _, id := range s.plan.SilentTargets(now) {
+		notify(s.agent(id).renewSignal)
+	}
+}
+
 // sleep waits for a duration. It returns false if ctx ended first.
 func sleep(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
--- /dev/null
+++ b/internal/loadmodel/loadmodel_test.go
@@ -0,0 +1,62 @@
+package loadmodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/loadmodel"
+)
+
+// stepsPerRun is how many steps of one run are measured.
+const stepsPerRun = 200
+
+func BenchmarkStep(b *testing.B) {
+	for _, targets := range []int{50, 350, 1100, 3300} {
+		for _, load := range []string{"steady", "surge"} {
+			b.Run(fmt.Sprintf("%s/%d", load, targets), func(b *testing.B) {
+				w := loadmodel.Mixed(targets)
+				w.Length = 20 * time.Second
+				from := 4 * time.Second
+				if load == "surge" {
+					w.Surges = []loadmodel.Surge{{Class: 0, Factor: 2.1, From: from, To: w.Length}, {Class: 1, Factor: 2, From: from, To: w.Length}}
+					from = 10 * time.Second
+				}
+				benchmarkSteps(b, w, from)
+			})
+		}
+	}
+}
+
+// benchmarkSteps measures the steps of runs from a time on.
+func benchmarkSteps(b *testing.B, w loadmodel.Workload, from time.Duration) {
+	b.ReportAllocs()
+	for n := 0; n < b.N; {
+		b.StopTimer()
+		m := &loadmodel.Model{Workload: w, Seed: 1}
+		m.AdvanceTo(from)
+		for range stepsPerRun {
+			if n++; n > b.N {
+				return
+			}
+			m.Advance()
+			b.StartTimer()
+			m.Step()
+			b.StopTimer()
+		}
+	}
+}
+
+// Guards against: a comparison of two policies that shows the order of a map instead.
+func TestOneSeedGivesOneRun(t *testing.T) {
+	play := func() string {
+		w := loadmodel.Mixed(100)
+		w.Length = 10 * time.Second
+		w.Surges = []loadmodel.Surge{{Class: 0, Factor: 3, From: 2 * time.Second, To: 6 * time.Second}}
+		w.Losses = []loadmodel.Loss{{Share: 0.2, At: 5 * time.Second}}
+		return (&loadmodel.Model{Workload: w, Seed: 7}).Run().String()
+	}
+	if first, second := play(), play(); first != second {
+		t.Errorf("have two runs of one seed:\n%s%s", first, second)
+	}
+}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -60,7 +60,7 @@
 	for i := range j.Steps {
 		j.work += float64(j.Steps[i].Count) * j.Steps[i].EstimatedDuration().Seconds() * s.targetShare(&j.Steps[i])
 	}
-	e := s.estimateFor(j.Queue)
+	e := j.estimate
 	e.jobs++
 	e.work += (j.work - e.work) / float64(e.jobs)
 }
@@ -85,7 +85,7 @@
 // targetShare returns the share of a listed target's capacity that one task takes; at least
 // 0.01, and 0.1 while no target is listed.
 func (s *Scheduler) targetShare(spec *workload.Step) float64 {
-	for _, n := range s.nodes {
+	for _, n := range s.ordered {
 		if n.listed {
 			return max(spec.CapacityUse().DominantShare(n.Capacity), 0.01)
 		}
@@ -115,10 +115,7 @@
 func (s *Scheduler) candidates(now time.Time) []*candidate {
 	guaranteeCovered := s.guaranteeCovered()
 	var out []*candidate
-	for _, j := range s.jobs {
-		if ended(j.phase) {
-			continue
-		}
+	for _, j := range s.open {
 		for _, o := range j.occurrences {
 			if o.done {
 				continue
@@ -164,7 +161,7 @@
 // startableUnits returns the units of a step that may start now: none until all units of the
 // steps that it waits for are done.
 func (s *Scheduler) startableUnits(now time.Time, st *step) []*unit {
-	if st.unitsLeft == 0 {
+	if st.idleUnits == 0 {
 		return nil
 	}
 	for _, earlier := range st.spec.After {
@@ -190,8 +187,8 @@
 // priority 0.
 func (s *Scheduler) guaranteeCovered() map[string]bool {
 	needs := map[string]int64{}
-	for _, j := range s.jobs {
-		if !ended(j.phase) && j.queue.Priority == 0 {
+	for _, j := range s.open {
+		if j.queue.Priority == 0 {
 			needs[j.Organisation] += j.maxAccelerators()
 		}
 	}
@@ -255,7 +252,7 @@
 // the value of jobs and the cost of stops are compared.
 func (s *Scheduler) worth(j *job) float64 {
 	relative := 1.0
-	if mean := s.estimateFor(j.Queue).work; mean > 0 {
+	if mean := j.estimate.work; mean > 0 {
 		relative = min(j.work/mean, maxRelativeWork)
 	}
 	return priorityWorth[min(max(j.queue.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -32,7 +32,7 @@
 // costPerSecond returns the cost of running one task on a target for a second. Fast targets
 // cost more, and so do targets that would have much free capacity left. u may be nil.
 func (p *pass) costPerSecond(c *candidate, u *unit, n *freeCapacity) float64 {
-	costPerSecond := math.Pow(n.speed, fastTargetExponent)
+	costPerSecond := n.speedCost
 	if u != nil && u.avoidTarget == n.ID {
 		costPerSecond *= avoidPenalty
 	}
@@ -87,17 +87,25 @@
 // placeTask finds the cheapest target for one task. The placement is empty when no target has
 // enough free capacity.
 func (p *pass) placeTask(c *candidate, u *unit) placement {
-	best := placement{}
-	for _, n := range p.openNodes {
+	var best *freeCapacity
+	bestCost, bestSeconds := math.Inf(1), 0.0
+	for _, n := range p.candidateNodes(c) {
 		if !p.fits(c, n) {
 			continue
 		}
 		runSeconds := p.runSeconds(c, p.effectiveSpeed(c, n))
-		if cost := runSeconds*p.costPerSecond(c, u, n) + p.expectedLateCost(c, runSeconds); best.openNodes == nil || cost < best.cost {
-			best = placement{openNodes: []*freeCapacity{n}, cost: cost, runSeconds: runSeconds}
+		cost := runSeconds * p.costPerSecond(c, u, n)
+		if cost >= bestCost {
+			continue
+		}
+		if cost += p.expectedLateCost(c, runSeconds); cost < bestCost {
+			best, bestCost, bestSeconds = n, cost, runSeconds
 		}
 	}
-	return best
+	if best == nil {
+		return placement{}
+	}
+	return placement{openNodes: []*freeCapacity{best}, cost: bestCost, runSeconds: bestSeconds}
 }
 
 // memberOption is a target on which up to maxMembers members of a gang could run.
@@ -113,33 +121,37 @@
 // series of minimum speeds, each with the targets that reach it, and returns the cheapest
 // placement. The placement is empty when the targets cannot hold all members.
 func (p *pass) placeMembers(c *candidate, openNodes []*freeCapacity, count int, slowdown float64) placement {
-	options, total := p.options(c, openNodes, count)
+	bySpeed, total := p.options(c, openNodes, count)
 	if total < count {
 		return placement{}
 	}
-	slices.SortStableFunc(options, func(a, b memberOption) int { return cmp.Compare(b.effectiveSpeed, a.effectiveSpeed) })
-	best := placement{}
+	slices.SortStableFunc(bySpeed, func(a, b memberOption) int { return cmp.Compare(b.effectiveSpeed, a.effectiveSpeed) })
+	p.byCost = append(p.byCost[:0], bySpeed...)
+	slices.SortStableFunc(p.byCost, func(a, b memberOption) int { return cmp.Compare(a.costPerSecond, b.costPerSecond) })
+	best, slowestOfBest := placement{}, 0.0
 	included, freeCapacity := 0, 0
-	for included < len(options) {
-		slowest := options[included].effectiveSpeed / speedStep
-		for included < len(options) && options[included].effectiveSpeed >= slowest {
-			freeCapacity += options[included].maxMembers
+	for included < len(bySpeed) {
+		slowest := bySpeed[included].effectiveSpeed / speedStep
+		for included < len(bySpeed) && bySpeed[included].effectiveSpeed >= slowest {
+			freeCapacity += bySpeed[included].maxMembers
 			included++
 		}
 		if freeCapacity < count {
 			continue
 		}
-		if found := p.cheapestPlacement(c, slices.Clone(options[:included]), count, slowdown); best.openNodes == nil || found.cost < best.cost {
-			best = found
+		slowest = bySpeed[included-1].effectiveSpeed
+		if found := p.cheapestPlacement(c, slowest, count, slowdown); slowestOfBest == 0 || found.cost < best.cost {
+			best, slowestOfBest = found, slowest
 		}
 	}
+	best.openNodes = p.cheapestNodes(slowestOfBest, count)
 	return best
 }
 
 // options returns the targets on which members of a gang could run, and how many members fit on
 // them together.
 func (p *pass) options(c *candidate, openNodes []*freeCapacity, count int) ([]memberOption, int) {
-	var options []memberOption
+	options := p.bySpeed[:0]
 	total := 0
 	for _, n := range openNodes {
 		if !p.fits(c, n) {
@@ -150,24 +162,52 @@
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
 		maxMembers := c.step.spec.CapacityUse().CountFitting(n.free, limit)
-		options = append(options, memberOption{freeCapacity: n, effectiveSpeed: p.effectiveSpeed(c, n), costPerSecond: p.costPerSecond(c, nil, n), maxMembers: maxMembers})
+		options = append(options, memberOption{freeCapacity: n, effectiveSpeed: p.effectiveSpeed(c, n), maxMembers: maxMembers})
 		total += maxMembers
 	}
+	if total >= count {
+		for i := range options {
+			options[i].costPerSecond = p.costPerSecond(c, nil, options[i].freeCapacity)
+		}
+	}
+	p.bySpeed = options
 	return options, total
 }
 
-// cheapestPlacement places count members on the targets with the lowest cost per second.
-func (p *pass) cheapestPlacement(c *candidate, options []memberOption, count int, slowdown float64) placement {
-	slices.SortStableFunc(options, func(a, b memberOption) int { return cmp.Compare(a.costPerSecond, b.costPerSecond) })
-	found := placement{}
-	totalCost, effectiveSpeed := 0.0, math.Inf(1)
-	for _, o := range options {
-		for range min(o.maxMembers, count-len(found.openNodes)) {
-			found.openNodes = append(found.openNodes, o.freeCapacity)
-			totalCost, effectiveSpeed = totalCost+o.costPerSecond, min(effectiveSpeed, o.effectiveSpeed)
+// cheapestPlacement returns the time and the cost of count members on the cheapest targets that are
+// no slower than slowest; it leaves the targets out.
+func (p *pass) cheapestPlacement(c *candidate, slowest float64, count int, slowdown float64) placement {
+	totalCost, effectiveSpeed, missing := 0.0, math.Inf(1), count
+	for i := range p.byCost {
+		o := &p.byCost[i]
+		if o.effectiveSpeed < slowest {
+			continue
+		}
+		members := min(o.maxMembers, missing)
+		totalCost, effectiveSpeed = totalCost+float64(members)*o.costPerSecond, min(effectiveSpeed, o.effectiveSpeed)
+		if missing -= members; missing == 0 {
+			break
 		}
 	}
-	found.runSeconds = slowdown * p.runSeconds(c, effectiveSpeed)
+	found := placement{runSeconds: slowdown * p.runSeconds(c, effectiveSpeed)}
 	found.cost = found.runSeconds*totalCost + float64(count)*p.expectedLateCost(c, found.runSeconds)
 	return found
 }
+
+// cheapestNodes returns the targets of cheapestPlacement, one entry for each member.
+func (p *pass) cheapestNodes(slowest float64, count int) []*freeCapacity {
+	nodes := make([]*freeCapacity, 0, count)
+	for i := range p.byCost {
+		o := &p.byCost[i]
+		if o.effectiveSpeed < slowest {
+			continue
+		}
+		for range min(o.maxMembers, count-len(nodes)) {
+			nodes = append(nodes, o.freeCapacity)
+		}
+		if len(nodes) == count {
+			break
+		}
+	}
+	return nodes
+}
--- a/internal/scheduler/fields.go
+++ b/internal/scheduler/fields.go
@@ -31,7 +31,7 @@
 // fields describes the run and what the planner believes about its target.
 func (m *member) fields(now time.Time) Fields {
 	return m.node.fields(now).with(Fields{
-		"job": m.unit.step.job.ID, "run": m.run(), "state": m.state.String(), "doubtful": m.startUnanswered,
+		"job": m.unit.step.job.ID, "run": m.run, "state": m.state.String(), "doubtful": m.startUnanswered,
 	})
 }
 
--- a/internal/scheduler/late_start.go
+++ b/internal/scheduler/late_start.go
@@ -37,6 +37,9 @@
 // dropLateStarts forgets the late starts that can't be carried out any more and whose leases would
 // have ended.
 func (s *Scheduler) dropLateStarts(now time.Time, n *node) {
+	if len(n.lateStarts) == 0 {
+		return
+	}
 	over := lateStartPeriod + longestLease(s.Limits.TaskLease)
 	maps.DeleteFunc(n.lateStarts, func(_ target.Run, late *lateStart) bool { return now.Sub(late.sent) > over })
 }
@@ -44,7 +47,7 @@
 // mayOutliveLeases reports whether a run may be alive although the target's leases have ended: a new
 // incarnation may carry out a start that a former one left unanswered, and grant its own lease.
 func (m *member) mayOutliveLeases() bool {
-	late := m.node.lateStarts[m.run()]
+	late := m.node.lateStarts[m.run]
 	return late != nil && late.born != m.node.Born
 }
 
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -63,6 +64,8 @@
 	// used is the capacity that members take up; members holds the tasks that may be alive here.
 	used    workload.Resources
 	members map[target.Run]*member
+	// sorted holds the members in the order of their runs.
+	sorted []*member
 	// lateStarts holds the starts that were not answered, and unknownStops when a listed run that
 	// is not known was last stopped.
 	lateStarts   map[target.Run]*lateStart
@@ -76,6 +79,8 @@
 	// usual speed.
 	speed         float64
 	usualLogSpeed float64
+	// speedCost is the speed to the power of fastTargetExponent.
+	speedCost float64
 	// logSlowdown is the logarithm of the present speed relative to the usual one; 0 while the
 	// target is not slowed down.
 	logSlowdown float64
@@ -94,12 +99,28 @@
 func (s *Scheduler) node(now time.Time, id string) *node {
 	n := s.nodes[id]
 	if n == nil {
-		n = &node{Listing: target.Listing{ID: id}, knownSince: now, members: map[target.Run]*member{}, speed: 1}
+		n = &node{Listing: target.Listing{ID: id}, knownSince: now, members: map[target.Run]*member{}}
+		n.setUsualSpeed(0)
 		s.nodes[id] = n
+		at, _ := slices.BinarySearchFunc(s.ordered, id, compareID)
+		s.ordered = slices.Insert(s.ordered, at, n)
 	}
 	return n
 }
 
+func compareID(n *node, id string) int { return cmp.Compare(n.ID, id) }
+
+// remove detaches a member from its target.
+func (n *node) remove(m *member) {
+	delete(n.members, m.run)
+	if at, found := slices.BinarySearchFunc(n.sorted, m, compareMembers); found {
+		n.sorted = slices.Delete(n.sorted, at, at+1)
+	}
+	n.used = n.used.Minus(m.unit.step.spec.CapacityUse())
+}
+
+func compareMembers(a, b *member) int { return compareRuns(a.run, b.run) }
+
 // TargetListed handles a new or changed entry of a target in the store. An entry of a former
 // incarnation is ignored.
 func (s *Scheduler) TargetListed(now time.Time, listing target.Listing) {
@@ -209,9 +230,10 @@
 // expire closes the runs on targets whose leases are known to have ended, and removes unlisted
 // targets without runs.
 func (s *Scheduler) expire(now time.Time) {
-	for id, n := range s.nodes {
+	kept := s.ordered[:0]
+	for _, n := range s.ordered {
 		s.dropLateStarts(now, n)
-		if len(n.members) > 0 && s.leasesEnded(now, n) {
+		if len(n.sorted) > 0 && s.leasesEnded(now, n) {
 			for _, m := range n.sortedMembers() {
 				if m.state != memberAwaitingWrite && !m.mayOutliveLeases() {
 					s.loseRun(now, m, "its lease ended and the target did not answer")
@@ -219,9 +241,13 @@
 			}
 		}
 		if n.removed() {
-			delete(s.nodes, id)
+			delete(s.nodes, n.ID)
+			continue
 		}
+		kept = append(kept, n)
 	}
+	clear(s.ordered[len(kept):])
+	s.ordered = kept
 }
 
 // removed reports whether the target is neither listed nor able to run anything.
@@ -233,14 +259,8 @@
 	s.close(now, m, reason)
 }
 
-func (n *node) sortedMembers() []*member {
-	out := make([]*member, 0, len(n.members))
-	for _, m := range n.members {
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b *member) int { return compareRuns(a.run(), b.run()) })
-	return out
-}
+// sortedMembers returns a copy of the members in order, since closing one changes n.sorted.
+func (n *node) sortedMembers() []*member { return slices.Clone(n.sorted) }
 
 // TargetStatus is the state of a target that decides whether it has to be contacted.
 type TargetStatus struct {
@@ -271,12 +291,23 @@
 	}
 }
 
+// SilentTargets returns the IDs of the targets that have not reported to this planner yet or are
+// unresponsive, in order.
+func (s *Scheduler) SilentTargets(now time.Time) []string {
+	var out []string
+	for _, n := range s.ordered {
+		if !n.contacted || n.unresponsive(now) {
+			out = append(out, n.ID)
+		}
+	}
+	return out
+}
+
 // Targets returns the IDs of all known targets in order.
 func (s *Scheduler) Targets() []string {
-	out := make([]string, 0, len(s.nodes))
-	for id := range s.nodes {
-		out = append(out, id)
+	out := make([]string, len(s.ordered))
+	for i, n := range s.ordered {
+		out[i] = n.ID
 	}
-	slices.Sort(out)
 	return out
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,6 +18,8 @@
 	// idlePassInterval is the longest time between two passes while steps wait to be placed
 	// and nothing but the time has changed.
 	idlePassInterval = 500 * time.Millisecond
+	// maxFreeIndex is the highest number of free accelerators by which targets are indexed.
+	maxFreeIndex = 8
 )
 
 // freeCapacity is a target that may be given new work, with the capacity that is still free in
@@ -26,22 +27,46 @@
 type freeCapacity struct {
 	*node
 	free workload.Resources
+	// rack is the index of the target's rack in pass.racks.
+	rack int
 	// reserved is the step for which the target's capacity is reserved.
 	reserved *step
+	// releases holds the runs here in the order in which they are expected to end, once a step
+	// has needed them; victims holds the units that may be stopped for a job of priority 0.
+	releases []release
+	victims  []victim
+	// hasReleases and hasVictims say that these have been filled in this pass.
+	hasReleases, hasVictims bool
 	// perStep counts the tasks here by step. It is filled when a step with a limit per target
 	// first needs it.
 	perStep map[*step]int
 }
 
-// pass is one placement pass.
+// pass is one placement pass. Its memory is used again in the next one.
 type pass struct {
 	s   *Scheduler
 	now time.Time
-	// openNodes are the targets that may be given new work, in order of their IDs; racks holds
-	// them by rack.
-	openNodes    []*freeCapacity
-	racks        map[string][]*freeCapacity
+	// openNodes are the targets that may be given new work, in order of their IDs. racks holds
+	// them by rack, in the order of rackNames.
+	openNodes  []*freeCapacity
+	racks      [][]*freeCapacity
+	rackNames  []string
+	rackIndex  map[string]int
+	capacities []freeCapacity
+	// withFree holds, by the number of free accelerators at the begin of the pass, the targets
+	// that had so many or more; the last entry is for all higher numbers too.
+	withFree [maxFreeIndex + 1][]*freeCapacity
+	// rackFree sums the free capacity of each rack.
+	rackFree []workload.Resources
+	// usage holds the capacity of each service and how much of it is used.
+	usage map[string]*usage
+	// bySpeed and byCost hold the options for the gang that is being placed.
+	bySpeed, byCost []memberOption
+	// couldHold holds what rackCouldHold has found.
+	couldHold    map[unitRequirements]bool
 	reservations int
+	// searches counts the searches for runs to stop that found none worthwhile.
+	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
 	// pass.
 	unplaceable map[unitRequirements]bool
@@ -65,24 +90,85 @@
 	if len(candidates) == 0 {
 		return
 	}
-	p := &pass{s: s, now: now, racks: map[string][]*freeCapacity{}, unplaceable: map[unitRequirements]bool{}}
-	for _, n := range s.nodes {
-		if p.isEligible(n) {
-			open := &freeCapacity{node: n, free: n.Capacity.Minus(n.used)}
-			p.openNodes = append(p.openNodes, open)
-			p.racks[n.Rack] = append(p.racks[n.Rack], open)
-		}
-	}
-	slices.SortFunc(p.openNodes, func(a, b *freeCapacity) int { return cmp.Compare(a.ID, b.ID) })
-	for _, rack := range p.racks {
-		slices.SortFunc(rack, func(a, b *freeCapacity) int { return cmp.Compare(a.ID, b.ID) })
-	}
+	p := &s.pass
+	p.begin(s, now)
 	for _, c := range candidates {
 		p.startUnits(c)
 	}
 	s.wakeAt(now.Add(idlePassInterval))
 }
 
+// begin prepares a pass.
+func (p *pass) begin(s *Scheduler, now time.Time) {
+	p.s, p.now, p.reservations, p.searches, p.openNodes = s, now, 0, 0, p.openNodes[:0]
+	if p.unplaceable == nil {
+		p.unplaceable, p.couldHold, p.rackIndex, p.usage = map[unitRequirements]bool{}, map[unitRequirements]bool{}, map[string]int{}, map[string]*usage{}
+	}
+	clear(p.unplaceable)
+	clear(p.couldHold)
+	clear(p.usage)
+	for i := range p.racks {
+		p.racks[i], p.rackFree[i] = p.racks[i][:0], workload.Resources{}
+	}
+	for i := range p.withFree {
+		p.withFree[i] = p.withFree[i][:0]
+	}
+	if cap(p.capacities) < len(s.ordered) {
+		p.capacities = make([]freeCapacity, 0, len(s.ordered))
+	}
+	p.capacities = p.capacities[:0]
+	for _, n := range s.ordered {
+		if !p.isEligible(n) {
+			continue
+		}
+		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used)})
+		p.add(&p.capacities[len(p.capacities)-1])
+	}
+	for i := range p.capacities {
+		open := &p.capacities[i]
+		open.rack = p.rackIndex[open.Rack]
+	}
+}
+
+// add adds a target to the lists of the pass.
+func (p *pass) add(n *freeCapacity) {
+	p.openNodes = append(p.openNodes, n)
+	for i := int64(0); i <= min(n.free.Accelerators, maxFreeIndex); i++ {
+		p.withFree[i] = append(p.withFree[i], n)
+	}
+	rack := p.rack(n.Rack)
+	p.racks[rack] = append(p.racks[rack], n)
+	p.rackFree[rack] = p.rackFree[rack].Plus(n.free.AtLeastZero())
+	total := p.usage[n.Service]
+	if total == nil {
+		total = &usage{}
+		p.usage[n.Service] = total
+	}
+	total.used, total.whole = total.used.Plus(n.used), total.whole.Plus(n.Capacity)
+}
+
+// usage is how much of a service's capacity is in use.
+type usage struct{ used, whole workload.Resources }
+
+// candidateNodes returns the targets that may have enough free capacity for a task of the step.
+func (p *pass) candidateNodes(c *candidate) []*freeCapacity {
+	return p.withFree[max(0, min(c.step.spec.CapacityUse().Accelerators, maxFreeIndex))]
+}
+
+// rack returns the index of a rack.
+func (p *pass) rack(name string) int {
+	if index, known := p.rackIndex[name]; known {
+		return index
+	}
+	index, _ := slices.BinarySearch(p.rackNames, name)
+	p.rackNames, p.racks = slices.Insert(p.rackNames, index, name), slices.Insert(p.racks, index, nil)
+	p.rackFree = slices.Insert(p.rackFree, index, workload.Resources{})
+	for i, later := range p.rackNames[index:] {
+		p.rackIndex[later] = index + i
+	}
+	return index
+}
+
 // isEligible reports whether a target may be given new work.
 func (p *pass) isEligible(n *node) bool {
 	if !n.listed || n.Draining || !n.contacted || n.unresponsive(p.now) {
@@ -167,13 +253,16 @@
 // placeGang finds targets for all members of a gang, in one rack where possible.
 func (p *pass) placeGang(c *candidate, count int) placement {
 	best := placement{}
-	for _, name := range p.rackNames() {
-		if found := p.placeMembers(c, p.racks[name], count, 1); found.openNodes != nil && (best.openNodes == nil || found.cost < best.cost) {
+	for i, rack := range p.racks {
+		if c.step.spec.CapacityUse().CountFitting(p.rackFree[i], count) < count {
+			continue
+		}
+		if found := p.placeMembers(c, rack, count, 1); found.openNodes != nil && (best.openNodes == nil || found.cost < best.cost) {
 			best = found
 		}
 	}
 	if !c.step.spec.SameRack {
-		if found := p.placeMembers(c, p.openNodes, count, 1); found.openNodes != nil && (best.openNodes == nil || found.cost < best.cost) {
+		if found := p.placeMembers(c, p.candidateNodes(c), count, 1); found.openNodes != nil && (best.openNodes == nil || found.cost < best.cost) {
 			best = found
 		}
 		return best
@@ -181,32 +270,28 @@
 	if best.openNodes != nil || (p.rackCouldHold(c, count) && p.mostlyUsed(c)) {
 		return best
 	}
-	return p.placeMembers(c, p.openNodes, count, max(p.s.Limits.RemoteFactor, 1))
+	return p.placeMembers(c, p.candidateNodes(c), count, max(p.s.Limits.RemoteFactor, 1))
 }
 
 // mostlyUsed reports whether so much of a service is in use that a gang spread over racks,
 // which runs longer, would take capacity that others need.
 func (p *pass) mostlyUsed(c *candidate) bool {
-	var used, whole workload.Resources
-	for _, n := range p.openNodes {
-		if n.Service == c.step.job.queue.Service {
-			used, whole = used.Plus(n.Capacity.Minus(n.free)), whole.Plus(n.Capacity)
-		}
-	}
-	return used.DominantShare(whole) > mostlyUsedShare
+	total := p.usage[c.step.job.queue.Service]
+	return total != nil && total.used.DominantShare(total.whole) > mostlyUsedShare
 }
 
-func (p *pass) rackNames() []string {
-	names := make([]string, 0, len(p.racks))
-	for name := range p.racks {
-		names = append(names, name)
+// rackCouldHold reports whether some rack could hold the gang if it were empty.
+func (p *pass) rackCouldHold(c *candidate, count int) bool {
+	requirements := c.requirements()
+	could, known := p.couldHold[requirements]
+	if !known {
+		could = p.anyRackHolds(c, count)
+		p.couldHold[requirements] = could
 	}
-	slices.Sort(names)
-	return names
+	return could
 }
 
-// rackCouldHold reports whether some rack could hold the gang if it were empty.
-func (p *pass) rackCouldHold(c *candidate, count int) bool {
+func (p *pass) anyRackHolds(c *candidate, count int) bool {
 	spec := c.step.spec
 	for _, rack := range p.racks {
 		total := 0
@@ -233,15 +318,14 @@
 	u.run++
 	u.failureCounted, u.startedAt = false, time.Time{}
 	for i, n := range chosen.openNodes {
-		m := &member{unit: u, index: u.index + i, node: n.node, state: memberAwaitingWrite}
-		u.members = append(u.members, m)
+		m := newMember(u, i, n.node, memberAwaitingWrite)
 		p.s.attach(m)
-		n.free = n.free.Minus(c.step.spec.CapacityUse())
+		p.take(n, c.step.spec.CapacityUse())
 		if c.step.spec.MaxPerTarget > 0 {
 			n.count(c.step)
 			n.perStep[c.step]++
 		}
-		p.s.starts = append(p.s.starts, Start{Run: m.run(), Target: n.ID})
+		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
 		p.s.log("run placed", m.fields(p.now).with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
@@ -254,6 +338,14 @@
 	p.s.dirty[j.ID] = j
 }
 
+// take marks capacity of a target as used.
+func (p *pass) take(n *freeCapacity, use workload.Resources) {
+	n.free, p.rackFree[n.rack] = n.free.Minus(use), p.rackFree[n.rack].Minus(use)
+	total := p.usage[n.Service]
+	total.used = total.used.Plus(use)
+	n.hasReleases, n.hasVictims = false, false
+}
+
 // StartPayload returns the payload and the checkpoint to send with a start; both are empty if
 // the start is no longer wanted.
 func (s *Scheduler) StartPayload(start Start) (payload, checkpoint string) {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -135,7 +135,7 @@
 }
 
 func (s *Scheduler) memberRemainingTime(now time.Time, m *member) time.Duration {
-	p, u := m.progress, m.unit
+	p, u := &m.progress, m.unit
 	total := s.taskDuration(u.step).Seconds() * u.remoteSlowdown(s.Limits.RemoteFactor) / max(m.node.speed, minSpeed)
 	if p.at.IsZero() {
 		return time.Duration(max(total-runningFor(now, u).Seconds(), 0) * float64(time.Second))
@@ -173,30 +173,46 @@
 // moveSlowRuns stops runs that are stalled or very slow, so that they start again on other
 // targets. A run is moved only if it would take at least moveFactor times as long where it is.
 func (s *Scheduler) moveSlowRuns(now time.Time) {
-	for _, n := range s.nodes {
-		for _, m := range n.sortedMembers() {
-			u, p := m.unit, m.progress
-			if m.state != memberConfirmed || !m.stopDecided.IsZero() || u.moves >= maxMoves || u.step.spec.LongRunning || p.at.IsZero() || p.percent >= nearlyDonePercent {
-				continue
+	var slow []*member
+	for _, n := range s.ordered {
+		for _, m := range n.sorted {
+			if s.isSlow(now, m) {
+				slow = append(slow, m)
 			}
-			stalled := now.Sub(p.increasedAt)
-			if stalled <= stalledAfter && runningFor(now, u) < slowAfter {
-				continue
-			}
-			here, there := s.memberRemainingTime(now, m), s.timeIfMoved(u)
-			if float64(here) < moveFactor*float64(there) {
-				continue
-			}
-			u.moves++
-			u.avoidTarget = n.ID
-			if stalled > stalledAfter {
-				n.block(now.Add(failurePause))
-			}
-			s.log("run moved", Fields{
-				"job": u.step.job.ID, "run": m.run(), "target": n.ID, "percent": p.percent, "here": here, "there": there,
-				"stalled": stalled, "speed": n.speed,
-			})
-			s.stopUnit(now, u, "it makes too little progress")
 		}
 	}
+	for _, m := range slow {
+		// The move of another member may have stopped it.
+		if m.stopDecided.IsZero() {
+			s.move(now, m)
+		}
+	}
+}
+
+// isSlow reports whether a run is stalled or so slow that it should be moved.
+func (s *Scheduler) isSlow(now time.Time, m *member) bool {
+	u, p := m.unit, &m.progress
+	if m.state != memberConfirmed || !m.stopDecided.IsZero() || u.moves >= maxMoves || u.step.spec.LongRunning || p.at.IsZero() || p.percent >= nearlyDonePercent {
+		return false
+	}
+	if now.Sub(p.increasedAt) <= stalledAfter && runningFor(now, u) < slowAfter {
+		return false
+	}
+	return float64(s.memberRemainingTime(now, m)) >= moveFactor*float64(s.timeIfMoved(u))
+}
+
+// move stops a slow run, so that its unit starts again elsewhere.
+func (s *Scheduler) move(now time.Time, m *member) {
+	u, n := m.unit, m.node
+	u.moves++
+	u.avoidTarget = n.ID
+	stalled := now.Sub(m.progress.increasedAt)
+	if stalled > stalledAfter {
+		n.block(now.Add(failurePause))
+	}
+	s.log("run moved", Fields{
+		"job": u.step.job.ID, "run": m.run, "target": n.ID, "percent": m.progress.percent, "here": s.memberRemainingTime(now, m), "there": s.timeIfMoved(u),
+		"stalled": stalled, "speed": n.speed,
+	})
+	s.stopUnit(now, u, "it makes too little progress")
 }
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -52,6 +53,9 @@
 		return
 	}
 	j.phase = progress.GetPhase()
+	if ended(j.phase) {
+		delete(s.open, j.ID)
+	}
 	if progress.GetEnded() != nil {
 		j.ended = progress.GetEnded().AsTime()
 	}
@@ -69,14 +73,15 @@
 	if record.GetDone() {
 		u.done = true
 		u.step.unitsLeft--
+		u.step.idleUnits--
+		s.allDone[j.ID] = j
 		return
 	}
 	for i, id := range record.GetTargets() {
 		if id == "" || i >= u.step.spec.Members() {
 			continue
 		}
-		m := &member{unit: u, index: u.index + i, node: s.node(now, id), state: memberInherited}
-		u.members = append(u.members, m)
+		m := newMember(u, i, s.node(now, id), memberInherited)
 		s.attach(m)
 		if ended(u.step.job.phase) {
 			s.stopMember(now, m, "its job had ended when this planner took over")
@@ -85,10 +90,17 @@
 	u.startedAt = now
 }
 
-// attach adds a member to the runs and to the used resources of its target.
+// attach adds a member to its unit and to the runs and the used resources of its target.
 func (s *Scheduler) attach(m *member) {
-	m.node.members[m.run()] = m
-	m.node.used = m.node.used.Plus(m.unit.step.spec.CapacityUse())
+	u, n := m.unit, m.node
+	if len(u.members) == 0 && !u.done {
+		u.step.idleUnits--
+	}
+	u.members = append(u.members, m)
+	n.members[m.run] = m
+	at, _ := slices.BinarySearchFunc(n.sorted, m, compareMembers)
+	n.sorted = slices.Insert(n.sorted, at, m)
+	n.used = n.used.Plus(u.step.spec.CapacityUse())
 }
 
 // unit finds a unit by its position; nil if there is none. A gang has one unit.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -24,6 +24,7 @@
 	for _, end := range report.Ended {
 		if end.Number > n.lastEnd {
 			n.lastEnd = end.Number
+			s.ends[n.ID] = n
 			s.runEnded(now, n, end)
 		}
 	}
@@ -32,14 +33,16 @@
 		listed[running.Run] = true
 		s.running(now, n, running)
 	}
-	maps.DeleteFunc(n.unknownStops, func(run target.Run, _ time.Time) bool { return !listed[run] })
+	if len(n.unknownStops) > 0 {
+		maps.DeleteFunc(n.unknownStops, func(run target.Run, _ time.Time) bool { return !listed[run] })
+	}
 	if len(report.Ended) >= maxListedEnds {
 		// The report may leave out further ended runs, so a run that it does not list may have
 		// ended as done.
 		return
 	}
 	for _, m := range n.sortedMembers() {
-		if listed[m.run()] {
+		if listed[m.run] {
 			continue
 		}
 		s.runNotListed(now, m, sent)
@@ -124,6 +127,7 @@
 	if !u.done {
 		u.done = true
 		u.step.unitsLeft--
+		s.allDone[u.step.job.ID] = u.step.job
 	}
 	s.closeMembers(now, first, "it is done")
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -25,6 +25,10 @@
 	// fasterTargetWait is how long, in addition to the time of a stop, a job waits for
 	// capacity on faster targets.
 	fasterTargetWait = 250 * time.Millisecond
+	// maxSearches is how many searches for runs to stop may fail in one pass, and searchPause the
+	// time until the next search for the same step. They bound what a surge of urgent jobs costs.
+	maxSearches = 8
+	searchPause = 100 * time.Millisecond
 	// likelyLate is the probability from which a job counts as late.
 	likelyLate = 0.5
 )
@@ -62,11 +66,7 @@
 	if !c.step.spec.Gang || !c.step.spec.SameRack || !p.rackCouldHold(c, count) {
 		return [][]*freeCapacity{p.openNodes}
 	}
-	var nodeSets [][]*freeCapacity
-	for _, name := range p.rackNames() {
-		nodeSets = append(nodeSets, p.racks[name])
-	}
-	return nodeSets
+	return p.racks
 }
 
 // earliest finds the targets that will have free capacity for count members first, and when.
@@ -85,10 +85,10 @@
 			options = append(options, option{n, at})
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
 	if len(options) < count {
 		return nil, time.Time{}
 	}
+	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
 	var chosen []*freeCapacity
 	for _, o := range options[:count] {
 		chosen = append(chosen, o.n)
@@ -103,17 +103,34 @@
 	if spec.CapacityUse().Fits(free) {
 		return p.now, true
 	}
-	members := n.sortedMembers()
-	slices.SortStableFunc(members, func(a, b *member) int { return p.s.expectedEnd(p.now, a).Compare(p.s.expectedEnd(p.now, b)) })
-	for _, m := range members {
-		free = free.Plus(m.unit.step.spec.CapacityUse())
+	for _, r := range p.releases(n) {
+		free = free.Plus(r.use)
 		if spec.CapacityUse().Fits(free) {
-			return p.s.expectedEnd(p.now, m), true
+			return r.at, true
 		}
 	}
 	return time.Time{}, false
 }
 
+// release is capacity that becomes free when a run ends.
+type release struct {
+	at  time.Time
+	use workload.Resources
+}
+
+// releases returns the runs on a target in the order in which they are expected to end.
+func (p *pass) releases(n *freeCapacity) []release {
+	if n.hasReleases {
+		return n.releases
+	}
+	n.releases, n.hasReleases = n.releases[:0], true
+	for _, m := range n.sorted {
+		n.releases = append(n.releases, release{p.s.expectedEnd(p.now, m), m.unit.step.spec.CapacityUse()})
+	}
+	slices.SortStableFunc(n.releases, func(a, b release) int { return a.at.Compare(b.at) })
+	return n.releases
+}
+
 // expectedEnd returns when a run is expected to end.
 func (s *Scheduler) expectedEnd(now time.Time, m *member) time.Time {
 	if !m.stopDecided.IsZero() {
@@ -132,8 +149,12 @@
 // preempt stops less important runs so that a candidate of priority 0 fits, if the job's worth
 // outweighs the loss or its guarantee is overdue. It reports whether capacity is reserved.
 func (p *pass) preempt(c *candidate) bool {
+	if !c.guaranteeOverdue && (p.searches >= maxSearches || p.now.Before(c.step.searchAgainAt)) {
+		return false
+	}
 	best := p.preemption(c)
 	if best == nil {
+		p.searchFailed(c)
 		return false
 	}
 	// A guarantee is met in any case, but before a costly stop the job waits for
@@ -142,12 +163,19 @@
 		if c.guaranteed {
 			p.s.wakeAt(c.step.occurrence.due.Add(guaranteeWait))
 		}
+		p.searchFailed(c)
 		return false
 	}
 	p.applyPreemption(c, best)
 	return true
 }
 
+// searchFailed records that no runs were found that are worth stopping for a candidate.
+func (p *pass) searchFailed(c *candidate) {
+	p.searches++
+	c.step.searchAgainAt = p.now.Add(searchPause)
+}
+
 // preemptFaster stops less important runs on faster targets for a candidate that would
 // probably be late on the free ones. It reports whether capacity is reserved for the
 // candidate, which waits for it only once.
@@ -257,14 +285,17 @@
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
 		// Capacity of runs that are being stopped already costs nothing more.
-		for _, m := range n.members {
+		for _, m := range n.sorted {
 			if !m.stopDecided.IsZero() {
 				free = free.Plus(m.unit.step.spec.CapacityUse())
 			}
 		}
 		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
 		if o.maxMembers == 0 {
-			for _, v := range p.victims(c, n) {
+			for _, v := range p.victims(n) {
+				if !v.unit.isVictim(c, n) {
+					continue
+				}
 				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
 				for _, m := range v.unit.members {
 					if m.node == n.node {
@@ -303,21 +334,32 @@
 	return found
 }
 
-// victims returns the units on a target that may be stopped for the candidate, the cheapest
-// first: those of a less important priority that are not long-running.
-func (p *pass) victims(c *candidate, n *freeCapacity) []victim {
-	var out []victim
-	seen := map[*unit]bool{}
-	for _, m := range n.sortedMembers() {
+// victims returns the units on a target in the order of the loss that stopping them costs, the
+// cheapest first.
+func (p *pass) victims(n *freeCapacity) []victim {
+	if n.hasVictims {
+		return n.victims
+	}
+	n.victims, n.hasVictims = n.victims[:0], true
+	for _, m := range n.sorted {
 		u := m.unit
-		if seen[u] || !m.stopDecided.IsZero() || m.state == memberAwaitingWrite || u.step.job.queue.Priority <= c.step.job.queue.Priority || u.step.spec.LongRunning {
+		known := func(v victim) bool { return v.unit == u }
+		if m.state == memberAwaitingWrite || u.step.spec.LongRunning || slices.ContainsFunc(n.victims, known) {
 			continue
 		}
-		seen[u] = true
-		out = append(out, victim{unit: u, loss: p.s.loss(p.now, u)})
+		n.victims = append(n.victims, victim{unit: u, loss: p.s.loss(p.now, u)})
 	}
-	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
-	return out
+	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	return n.victims
+}
+
+// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
+// and not being stopped there already.
+func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
+	if u.step.job.queue.Priority <= c.step.job.queue.Priority {
+		return false
+	}
+	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
 }
 
 // loss returns the credit that stopping a unit costs: the work that is lost, and the share of
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,11 +24,21 @@
 	catalogue *catalogue.Catalogue
 	// jobs and nodes hold the known jobs and targets by ID; estimates holds one estimate for
 	// each queue, by its name.
-	jobs  map[string]*job
-	nodes map[string]*node
-	// dirty holds the jobs whose progress has changed since the last step.
-	dirty     map[string]*job
+	jobs      map[string]*job
+	nodes     map[string]*node
 	estimates map[string]*estimate
+	// open holds the jobs that have not ended, and ordered the targets by ID.
+	open    map[string]*job
+	ordered []*node
+	// dirty holds the jobs whose progress has changed since the last step.
+	dirty map[string]*job
+	// allDone holds the open jobs that may have no units left, to be looked at in the next step.
+	allDone map[string]*job
+	// ends holds the targets of which ended runs were processed since the last step.
+	ends map[string]*node
+	// checkedAt is when the conditions that depend on the time alone were last checked.
+	checkedAt time.Time
+	pass      pass
 	// starts, stops and wake are collected for the plan of the next step.
 	starts []Start
 	stops  []Stop
@@ -85,10 +95,19 @@
 	Writes []Write
 	Starts []Start
 	Stops  []Stop
+	// Ends holds the last ended run that was processed, by target, where that has changed.
+	Ends map[string]EndNumber
 	// Wake is when the next step is due without an event; zero for none.
 	Wake time.Time
 }
 
+// EndNumber is the number of an ended run in one incarnation of its target; numbers start again
+// in each incarnation.
+type EndNumber struct {
+	Born   int64
+	Number int64
+}
+
 // job is a job with the state of its occurrences.
 type job struct {
 	*workload.Job
@@ -101,6 +120,8 @@
 	// objective and work are those of one occurrence; work is in target-seconds.
 	objective time.Duration
 	work      float64
+	// estimate is that of the job's queue.
+	estimate *estimate
 }
 
 // occurrence is one run of all the job's steps.
@@ -118,15 +139,21 @@
 	number     int
 	spec       *workload.Step
 	units      []*unit
-	unitsLeft  int
+	// unitsLeft counts the units that are not done, and idleUnits those of them without a run.
+	unitsLeft int
+	idleUnits int
 	// logWork is the logarithm of one task's work in seconds at speed 1, once measured.
 	logWork  float64
 	measured bool
+	// duration is that work as a time, once measured.
+	duration time.Duration
 	// estimateUpdated says that the queue's estimate has been updated with the step's measured
 	// work.
 	estimateUpdated bool
 	// preemptFasterAt is when runs on faster targets were first stopped for the step.
 	preemptFasterAt time.Time
+	// searchAgainAt is when runs to stop for the step are next searched for.
+	searchAgainAt time.Time
 }
 
 // unit is what is started at once: one task, or all tasks of a gang.
@@ -158,6 +185,8 @@
 	unit  *unit
 	index int
 	node  *node
+	// run is the run as its target knows it.
+	run   target.Run
 	state memberState
 	// confirmed is when the target accepted the start or first listed the run.
 	confirmed time.Time
@@ -194,14 +223,17 @@
 	m.unit.step.job.begun = true
 }
 
-func (m *member) run() target.Run {
-	s := m.unit.step
-	return target.Run{Number: m.unit.run, Task: target.Task{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.number, Index: m.index}}
+// newMember returns a member of a unit's current run. It is not attached to its target yet.
+func newMember(u *unit, index int, n *node, state memberState) *member {
+	st := u.step
+	task := target.Task{Job: st.job.ID, Occurrence: st.occurrence.number, Step: st.number, Index: u.index + index}
+	return &member{unit: u, index: u.index + index, node: n, state: state, run: target.Run{Number: u.run, Task: task}}
 }
 
 func (s *Scheduler) initialise() {
 	if s.jobs == nil {
-		s.jobs, s.nodes, s.dirty, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*job{}, map[string]*estimate{}
+		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
+		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
 	}
 }
 
@@ -215,7 +247,7 @@
 func (s *Scheduler) Configure(configuration *catalogue.Catalogue) {
 	s.initialise()
 	s.catalogue = configuration
-	for _, j := range s.jobs {
+	for _, j := range s.open {
 		if queue, ok := configuration.Queue(j.Queue); ok {
 			j.queue = *queue
 		}
@@ -228,7 +260,7 @@
 	if s.jobs[submitted.ID] != nil {
 		return
 	}
-	j := &job{Job: submitted, phase: wire.JobPhase_JOB_PHASE_QUEUED}
+	j := &job{Job: submitted, phase: wire.JobPhase_JOB_PHASE_QUEUED, estimate: s.estimateFor(submitted.Queue)}
 	if s.catalogue != nil {
 		if queue, ok := s.catalogue.Queue(submitted.Queue); ok {
 			j.queue = *queue
@@ -237,7 +269,7 @@
 	for number := range submitted.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, number))
 	}
-	s.jobs[j.ID] = j
+	s.jobs[j.ID], s.open[j.ID] = j, j
 	s.assess(j)
 	s.log("job known", Fields{"job": j.ID, "queue": j.Queue, "organisation": j.Organisation, "age": now.Sub(j.Accepted), "steps": j.stepDescriptions()})
 }
@@ -254,7 +286,7 @@
 func newOccurrence(j *job, number int) *occurrence {
 	o := &occurrence{number: number, due: j.Due(number)}
 	for i := range j.Steps {
-		st := &step{job: j, occurrence: o, number: i, spec: &j.Steps[i], unitsLeft: j.Steps[i].Units()}
+		st := &step{job: j, occurrence: o, number: i, spec: &j.Steps[i], unitsLeft: j.Steps[i].Units(), idleUnits: j.Steps[i].Units()}
 		for index := range st.spec.Units() {
 			st.units = append(st.units, &unit{step: st, index: index})
 		}
@@ -284,6 +316,7 @@
 func (s *Scheduler) endJob(now time.Time, j *job, phase wire.JobPhase, reason string) {
 	j.phase, j.ended = phase, now
 	s.dirty[j.ID] = j
+	delete(s.open, j.ID)
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, u := range st.units {
@@ -323,7 +356,7 @@
 // stopMember stops one member of a run.
 func (s *Scheduler) stopMember(now time.Time, m *member, reason string) {
 	m.stopDecided = now
-	s.stops = append(s.stops, Stop{Run: m.run(), Target: m.node.ID})
+	s.stops = append(s.stops, Stop{Run: m.run, Target: m.node.ID})
 	s.log("run stopped", m.fields(now).with(Fields{"reason": reason}))
 }
 
@@ -343,8 +376,10 @@
 		return
 	}
 	u.members = slices.Concat(u.members[:i], u.members[i+1:])
-	delete(m.node.members, m.run())
-	m.node.used = m.node.used.Minus(u.step.spec.CapacityUse())
+	m.node.remove(m)
+	if len(u.members) == 0 && !u.done {
+		u.step.idleUnits++
+	}
 	s.dirty[u.step.job.ID] = u.step.job
 	if !u.done && len(u.members) > 0 && u.step.spec.Gang {
 		s.stopUnit(now, u, "another member is gone: "+reason)
@@ -355,8 +390,8 @@
 // started.
 func (s *Scheduler) PendingJobs() map[string]int32 {
 	out := map[string]int32{}
-	for _, j := range s.jobs {
-		if !j.begun && !ended(j.phase) && j.RepeatCount == 0 {
+	for _, j := range s.open {
+		if !j.begun && j.RepeatCount == 0 {
 			out[j.Queue]++
 		}
 	}
@@ -375,7 +410,10 @@
 }
 
 // Forget removes a job whose records have been deleted from the store.
-func (s *Scheduler) Forget(id string) { delete(s.jobs, id) }
+func (s *Scheduler) Forget(id string) {
+	delete(s.jobs, id)
+	delete(s.open, id)
+}
 
 func (j *job) hasRuns() bool {
 	for _, o := range j.occurrences {
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -135,9 +135,9 @@
 		sum.add(o.expectedLogSpeed()-o.rate, o.weight)
 	}
 	for st, sum := range works {
-		spread := s.estimateFor(st.job.Queue).spread
+		spread := st.job.estimate.spread
 		sum.add(s.priorLogWork(st), 1/(spread*spread))
-		st.logWork, st.measured = sum.total/sum.weight, true
+		st.setLogWork(sum.total / sum.weight)
 	}
 }
 
@@ -167,19 +167,27 @@
 // normalise scales all speeds so that the geometric mean over the listed targets is 1.
 func (s *Scheduler) normalise() {
 	mean, count := 0.0, 0
-	for _, n := range s.nodes {
+	for _, n := range s.ordered {
 		if n.listed {
 			mean, count = mean+n.usualLogSpeed, count+1
 		}
 	}
-	for _, n := range s.nodes {
-		n.setUsualSpeed(n.usualLogSpeed - mean/float64(max(count, 1)))
+	for _, n := range s.ordered {
+		n.usualLogSpeed = boundLogSpeed(n.usualLogSpeed - mean/float64(max(count, 1)))
 	}
 }
 
 func (n *node) setUsualSpeed(logSpeed float64) {
-	n.usualLogSpeed = min(max(logSpeed, -maxLogSpeed), maxLogSpeed)
+	n.usualLogSpeed = boundLogSpeed(logSpeed)
 	n.speed = math.Exp(n.usualLogSpeed + n.logSlowdown)
+	n.speedCost = math.Pow(n.speed, fastTargetExponent)
+}
+
+func boundLogSpeed(logSpeed float64) float64 { return min(max(logSpeed, -maxLogSpeed), maxLogSpeed) }
+
+func (st *step) setLogWork(logWork float64) {
+	st.logWork, st.measured = logWork, true
+	st.duration = time.Duration(math.Exp(logWork) * float64(time.Second))
 }
 
 // detectSlowdowns lowers the speed of targets whose runs advance far more slowly at present
@@ -197,7 +205,7 @@
 		}
 		sum.add(o.current+o.step.logWork-o.nodes[0].usualLogSpeed, 1)
 	}
-	for _, n := range s.nodes {
+	for _, n := range s.ordered {
 		n.logSlowdown = 0
 		if sum := current[n]; sum != nil && sum.total/sum.weight < -slowdownThreshold {
 			n.logSlowdown = max(sum.total/sum.weight, -maxLogSpeed)
@@ -247,15 +255,15 @@
 // priorLogWork returns the logarithm of a step's work, in seconds, from the caller's estimate
 // and the queue's ratio alone.
 func (s *Scheduler) priorLogWork(st *step) float64 {
-	return math.Log(st.spec.EstimatedDuration().Seconds() * s.estimateFor(st.job.Queue).ratio)
+	return math.Log(st.spec.EstimatedDuration().Seconds() * st.job.estimate.ratio)
 }
 
 // taskDuration returns how long a task of a step is expected to run at speed 1 near its data.
 func (s *Scheduler) taskDuration(st *step) time.Duration {
 	if st.measured {
-		return time.Duration(math.Exp(st.logWork) * float64(time.Second))
+		return st.duration
 	}
-	return time.Duration(float64(st.spec.EstimatedDuration()) * s.estimateFor(st.job.Queue).ratio)
+	return time.Duration(float64(st.spec.EstimatedDuration()) * st.job.estimate.ratio)
 }
 
 // updateEstimate updates the queue's estimate with the measured work of a step, once for each
@@ -266,7 +274,7 @@
 		return
 	}
 	st.estimateUpdated = true
-	e := s.estimateFor(st.job.Queue)
+	e := st.job.estimate
 	deviation := st.logWork - s.priorLogWork(st)
 	e.ratio = min(max(e.ratio*math.Exp(ratioWeight*deviation), minRatio), maxRatio)
 	e.spread = math.Sqrt(e.spread*e.spread + spreadWeight*(min(deviation*deviation, maxSpread*maxSpread)-e.spread*e.spread))
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -1,23 +1,43 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
+// checkInterval is the time between two checks of all targets for what follows from the time
+// alone: leases that have ended and runs that make too little progress.
+const checkInterval = 100 * time.Millisecond
+
 // Step makes the decisions that are due and returns them as a plan.
 func (s *Scheduler) Step(now time.Time) Plan {
 	s.initialise()
 	s.wake = time.Time{}
-	s.expire(now)
+	if now.Sub(s.checkedAt) >= checkInterval {
+		s.checkedAt = now
+		s.expire(now)
+		s.moveSlowRuns(now)
+	}
+	if slices.ContainsFunc(s.ordered, func(n *node) bool { return len(n.sorted) > 0 }) {
+		s.wakeAt(s.checkedAt.Add(checkInterval))
+	}
 	s.markDone(now)
 	s.fit(now)
-	s.moveSlowRuns(now)
 	if s.catalogue != nil {
 		s.place(now)
 	}
 	plan := Plan{Starts: s.starts, Stops: s.stops, Wake: s.wake}
+	if len(s.ends) > 0 {
+		plan.Ends = make(map[string]EndNumber, len(s.ends))
+		for id, n := range s.ends {
+			if n.lastEnd > 0 {
+				plan.Ends[id] = EndNumber{Born: n.Born, Number: n.lastEnd}
+			}
+		}
+		clear(s.ends)
+	}
 	for _, j := range s.dirty {
 		plan.Writes = append(plan.Writes, Write{Job: j.ID, Record: j.record()})
 	}
@@ -34,7 +54,7 @@
 
 // markDone marks occurrences and jobs as done whose units are all done.
 func (s *Scheduler) markDone(now time.Time) {
-	for _, j := range s.jobs {
+	for _, j := range s.allDone {
 		if ended(j.phase) {
 			continue
 		}
@@ -56,4 +76,5 @@
 			s.endJob(now, j, wire.JobPhase_JOB_PHASE_DONE, "all tasks are done")
 		}
 	}
+	clear(s.allDone)
 }
--- a/internal/workload/resources.go
+++ b/internal/workload/resources.go
@@ -53,3 +53,8 @@
 }
 
 func (r Resources) valid() bool { return r.MilliCores >= 0 && r.MemoryMB >= 0 && r.Accelerators >= 0 }
+
+// AtLeastZero returns the amounts with 0 in place of negative ones.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{max(r.MilliCores, 0), max(r.MemoryMB, 0), max(r.Accelerators, 0)}
+}
