Steps of a busy planner take at most a quarter of its time

A step that took long is followed by a pause of three times its duration, 120 ms at most, so that reports and orders have the rest.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,10 @@
 	// handles a batch of events.
 	stepInterval    = 15 * time.Millisecond
 	maxStepInterval = time.Second
+	// stepPauseFactor is the shortest pause after a step in multiples of its duration, up to
+	// maxStepPause.
+	stepPauseFactor = 3
+	maxStepPause    = 120 * time.Millisecond
 	// retryInterval is the pause before a failed call or an unanswered order is repeated.
 	retryInterval = 150 * time.Millisecond
 	maxWatchWait  = time.Second
@@ -201,14 +205,21 @@
 		case <-s.stepSignal:
 		case <-timer.C:
 		}
+		begun := time.Now()
 		next := s.step()
 		timer.Reset(next)
-		if !sleep(ctx, stepInterval) {
+		if !sleep(ctx, pauseAfterStep(time.Since(begun))) {
 			return ctx.Err()
 		}
 	}
 }
 
+// pauseAfterStep returns how long no step is made after one that took so long. Steps take at most a
+// quarter of the time, so that orders and reports have the rest of a busy host's processor.
+func pauseAfterStep(took time.Duration) time.Duration {
+	return max(stepInterval, min(stepPauseFactor*took, maxStepPause))
+}
+
 // step runs one step of the scheduler, hands its stops to the agents and queues its writes and
 // starts for the next commit. It returns the time until the next step is due.
 func (s *session) step() time.Duration {
--- a/internal/loadmodel/fleet.go
+++ b/internal/loadmodel/fleet.go
@@ -154,7 +154,7 @@
 // advance lets the runs work for tick and ends those that are done, fail or are stopped. It
 // returns the accelerator-seconds and core-seconds of the work that was thrown away, an
 // accelerator counted as 8 cores.
-func (f *fleet) advance(now, tick time.Duration, classes []Class, needs func(target.Run) float64) float64 {
+func (f *fleet) advance(now, tick time.Duration, needs func(target.Run) float64) float64 {
 	wasted := 0.0
 	for _, on := range f.targets {
 		for _, run := range on.sortedRuns() {
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -88,7 +88,7 @@
 	m.now += tick
 	m.submit()
 	m.loseTargets()
-	m.report.Wasted += m.fleet.advance(m.now, tick, m.Workload.Classes, m.needs)
+	m.report.Wasted += m.fleet.advance(m.now, tick, m.needs)
 	for _, on := range m.fleet.targets {
 		if on.lost || m.now < on.reportAt {
 			continue
