A task whose given-up run is done is not run again

It ignored that end, acknowledged it, and ran the task again. Change: such an end completes the task, and the next run is stopped or not sent. Test: TestEndOfARunThatWasGivenUpCompletesItsTask and its twin for gangs failed first.

--- a/internal/scheduler/late_start.go
+++ b/internal/scheduler/late_start.go
@@ -84,9 +84,15 @@
 // holdTask lets a task start no earlier than until. A task of which a target lists a run that is not
 // known is held until that run's leases have ended or its end is listed.
 func (s *Scheduler) holdTask(task target.Task, until time.Time) {
+	if u := s.unit(task); u != nil {
+		u.notBefore = until
+	}
+}
+
+// unit returns the unit that a task belongs to; nil if it is not known.
+func (s *Scheduler) unit(task target.Task) *unit {
 	if j := s.jobs[task.Job]; j != nil {
-		if u := j.unit(task.Occurrence, task.Step, task.Index); u != nil {
-			u.notBefore = until
-		}
+		return j.unit(task.Occurrence, task.Step, task.Index)
 	}
+	return nil
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -94,6 +94,9 @@
 		if _, held := n.unknownStops[end.Run]; held {
 			s.holdTask(end.Task, now.Add(retryPause))
 		}
+		if end.Outcome == target.Done {
+			s.completeGivenUp(now, end.Run)
+		}
 		return
 	}
 	u := m.unit
@@ -124,14 +127,36 @@
 		s.closeMembers(now, first, "its long-running task ended")
 		return
 	}
-	if !u.done {
-		u.done = true
-		u.step.unitsLeft--
-		s.allDone[u.step.job.ID] = u.step.job
-	}
+	s.markUnitDone(u)
 	s.closeMembers(now, first, "it is done")
 }
 
+// completeGivenUp marks the unit of a run as done that ended so after it had been given up, and stops
+// the unit's next run.
+func (s *Scheduler) completeGivenUp(now time.Time, run target.Run) {
+	u := s.unit(run.Task)
+	if u == nil || u.done || run.Number > u.run || u.step.spec.LongRunning || ended(u.step.job.phase) {
+		return
+	}
+	s.log("given-up run done", Fields{"job": run.Task.Job, "run": run, "latest": u.run, "members": len(u.members)})
+	s.markUnitDone(u)
+	s.stopUnit(now, u, "an earlier run of it is done")
+}
+
+// markUnitDone marks a unit as done.
+func (s *Scheduler) markUnitDone(u *unit) {
+	if u.done {
+		return
+	}
+	u.done = true
+	u.step.unitsLeft--
+	if len(u.members) == 0 {
+		u.step.idleUnits--
+	}
+	j := u.step.job
+	s.dirty[j.ID], s.allDone[j.ID] = j, j
+}
+
 // closeMembers closes all members of the run of a member that ended. It logs the others, because
 // the event of the end shows only the one that ended.
 func (s *Scheduler) closeMembers(now time.Time, first *member, reason string) {
