A silent target whose entry stays keeps its runs for longer

Change: the entry of a dead target is removed from the store; while it stays, runs whose leases have ended wait up to 5 s for the report that says what became of them. How long a run has made no progress is counted up to its target's last report. Tests: TestRunsOfASilentTargetAreKeptWhileItsEntryStays and TestRunsOfASilentTargetAreNotMoved failed first.

--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -17,6 +17,9 @@
 	// unresponsiveAfter is how long a renewal may go unanswered before the target's lease is
 	// no longer prolonged and it is given no new work.
 	unresponsiveAfter = 1400 * time.Millisecond
+	// listedSilence is how long, after its leases have ended, a target whose entry stays may be
+	// silent before its runs are given up.
+	listedSilence = 5 * time.Second
 	// drainingLease bounds the lease of a draining target.
 	drainingLease = 3500 * time.Millisecond
 	// refusalPause is how long a target is given no new work after it refused a start.
@@ -56,6 +59,8 @@
 	// ended, whichever incarnation received them.
 	leaseOverAt time.Time
 	lastContact time.Time
+	// silentSince is when all leases were first found to have ended after lastContact.
+	silentSince time.Time
 	// renewalSentAt is when the first renewal after lastContact was sent. The target has not
 	// answered it yet if this is later than lastContact.
 	renewalSentAt time.Time
@@ -233,7 +238,7 @@
 	kept := s.ordered[:0]
 	for _, n := range s.ordered {
 		s.dropLateStarts(now, n)
-		if len(n.sorted) > 0 && s.leasesEnded(now, n) {
+		if len(n.sorted) > 0 && s.leasesEnded(now, n) && n.isGivenUp(now) {
 			for _, m := range n.sortedMembers() {
 				if m.state != memberAwaitingWrite && !m.mayOutliveLeases() {
 					s.loseRun(now, m, "its lease ended and the target did not answer")
@@ -250,6 +255,18 @@
 	s.ordered = kept
 }
 
+// isGivenUp reports whether the runs of a silent target whose leases have ended are given up. A
+// target with an entry is alive: the runs have ended there, and its report says how.
+func (n *node) isGivenUp(now time.Time) bool {
+	if !n.listed || !n.contacted {
+		return true
+	}
+	if n.silentSince.Before(n.lastContact) {
+		n.silentSince = now
+	}
+	return now.Sub(n.silentSince) >= listedSilence
+}
+
 // removed reports whether the target is neither listed nor able to run anything.
 func (n *node) removed() bool { return !n.listed && len(n.members) == 0 && len(n.lateStarts) == 0 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -46,6 +46,8 @@
 	// increasedAt is when percent last grew.
 	rate        float64
 	increasedAt time.Time
+	// reportedAt is when the target last reported the run.
+	reportedAt time.Time
 	// firstAt and firstPercent are the first measurement of the run.
 	firstAt      time.Time
 	firstPercent int
@@ -53,6 +55,10 @@
 	observation *observation
 }
 
+// stalledFor returns how long the run has made no progress, as far as its target has reported: while
+// the target is silent nothing is known.
+func (p *progress) stalledFor() time.Duration { return p.reportedAt.Sub(p.increasedAt) }
+
 // observe updates the measured progress of a run, from which the speed of its target and the
 // work of its step are estimated. All tasks of a step share one estimate of the work.
 func (s *Scheduler) observe(now time.Time, m *member, running target.Running) {
@@ -61,9 +67,10 @@
 	}
 	p := &m.progress
 	if p.at.IsZero() || running.Percent < p.percent {
-		*p = progress{percent: running.Percent, at: now, increasedAt: now, firstAt: now, firstPercent: running.Percent}
+		*p = progress{percent: running.Percent, at: now, increasedAt: now, reportedAt: now, firstAt: now, firstPercent: running.Percent}
 		return
 	}
+	p.reportedAt = now
 	if running.Percent > p.percent {
 		p.increasedAt = now
 	}
@@ -141,7 +148,7 @@
 		return time.Duration(max(total-runningFor(now, u).Seconds(), 0) * float64(time.Second))
 	}
 	remaining := float64(100-p.percent) / 100
-	stalled := now.Sub(p.increasedAt)
+	stalled := p.stalledFor()
 	if p.rate <= 0 || stalled > stalledAfter {
 		// A stalled run is expected to stay stalled for as long again.
 		return stalled + time.Duration(remaining*total*float64(time.Second))
@@ -195,7 +202,7 @@
 	if m.state != memberConfirmed || !m.stopDecided.IsZero() || u.moves >= maxMoves || u.step.spec.LongRunning || p.at.IsZero() || p.percent >= nearlyDonePercent {
 		return false
 	}
-	if now.Sub(p.increasedAt) <= stalledAfter && runningFor(now, u) < slowAfter {
+	if p.stalledFor() <= stalledAfter && runningFor(now, u) < slowAfter {
 		return false
 	}
 	return float64(s.memberRemainingTime(now, m)) >= moveFactor*float64(s.timeIfMoved(u))
@@ -206,7 +213,7 @@
 	u, n := m.unit, m.node
 	u.moves++
 	u.avoidTarget = n.ID
-	stalled := now.Sub(m.progress.increasedAt)
+	stalled := m.progress.stalledFor()
 	if stalled > stalledAfter {
 		n.block(now.Add(failurePause))
 	}
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -77,3 +77,47 @@
 		t.Errorf("have stops %v and starts %v, want both members of the next run stopped", plan.Stops, plan.Starts)
 	}
 }
+
+// Guards against: a target that is alive, since its entry stays, has its runs started elsewhere as
+// soon as the planner has not heard from it for the time of a lease.
+func TestRunsOfASilentTargetAreKeptWhileItsEntryStays(t *testing.T) {
+	f := newFixture(t, 2)
+	f.startFirst(target.Accepted)
+	if again := f.silence(lease + 4*time.Second); len(again) != 0 {
+		t.Errorf("have starts %v while t0 is listed, want none yet", again)
+	}
+	if again := f.silence(5 * time.Second); len(again) != 1 {
+		t.Errorf("have starts %v after t0 was silent for so long, want one", again)
+	}
+}
+
+// Guards against: the runs of a target that has gone wait as if it were alive.
+func TestRunsOfASilentTargetStartElsewhereOnceItsEntryIsGone(t *testing.T) {
+	f := newFixture(t, 2)
+	f.startFirst(target.Accepted)
+	f.silence(lease + 3*time.Second)
+	f.TargetUnlisted(f.now, "t0")
+	if again := f.silence(300 * time.Millisecond); len(again) != 1 {
+		t.Errorf("have starts %v after the entry of t0 was removed and its leases had ended, want one", again)
+	}
+}
+
+// Guards against: silence is taken for a run without progress, and the run is moved.
+func TestRunsOfASilentTargetAreNotMoved(t *testing.T) {
+	f := newFixture(t, 2)
+	short := smallStep(1)
+	short.Estimate = time.Second
+	f.submit("a", "batch", short)
+	first := f.startAll()[0]
+	for _, percent := range []int{0, 70} {
+		f.advance(700 * time.Millisecond)
+		f.Deadline(f.now, "t0")
+		f.report(0, target.Report{Running: []target.Running{{Run: first.Run, Percent: percent}}})
+	}
+	for range 62 {
+		f.advance(100 * time.Millisecond)
+		if stops := f.Step(f.now).Stops; len(stops) > 0 {
+			t.Fatalf("have stops %v %s after the last report, want none", stops, f.now.Sub(start))
+		}
+	}
+}
