The log is written in pieces of whole lines of at most 8 KB

Change: each write carries whole lines, 8,000 bytes at most. Test: TestLogIsWrittenInPiecesOfWholeLines failed first.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +17,9 @@
 const (
 	// DefaultBufferBytes is the size of the buffer for lines that are not yet written.
 	DefaultBufferBytes = 1 << 20
+	// maxWriteBytes bounds one write, if no line is longer. Collectors of standard output may cut off
+	// what goes beyond 8 KB.
+	maxWriteBytes = 8000
 	// flushPeriod is the time between writes, so that one write carries many lines.
 	flushPeriod = 100 * time.Millisecond
 )
@@ -96,11 +100,26 @@
 	if dropped > 0 {
 		buffer = fmt.Appendf(buffer, `{"level":"warn","message":"log: lines dropped","count":%d}`+"\n", dropped)
 	}
-	if len(buffer) == 0 {
-		return nil
-	}
-	if _, err := s.Writer.Write(buffer); err != nil {
-		return fmt.Errorf("Sink.flush: the log can't be written: %w", err)
+	for len(buffer) > 0 {
+		count := wholeLines(buffer)
+		if _, err := s.Writer.Write(buffer[:count]); err != nil {
+			return fmt.Errorf("Sink.flush: the log can't be written: %w", err)
+		}
+		buffer = buffer[count:]
 	}
 	return nil
 }
+
+// wholeLines returns the length of as many lines as one write may carry, at least one.
+func wholeLines(buffer []byte) int {
+	if len(buffer) <= maxWriteBytes {
+		return len(buffer)
+	}
+	if end := bytes.LastIndexByte(buffer[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(buffer, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(buffer)
+}
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -45,3 +45,43 @@
 		}
 	})
 }
+
+// writes records the sizes of the writes.
+type writes struct{ parts [][]byte }
+
+func (w *writes) Write(part []byte) (int, error) {
+	w.parts = append(w.parts, bytes.Clone(part))
+	return len(part), nil
+}
+
+// Guards against: lines of a busy planner are missing from the log, because its collector cuts long
+// writes off.
+func TestLogIsWrittenInPiecesOfWholeLines(t *testing.T) {
+	w := &writes{}
+	sink := &logsink.Sink{Writer: w}
+	logger := &log.Logger{Handler: sink, Level: log.InfoLevel}
+	lines := 200
+	for i := range lines {
+		text := strings.Repeat("x", 100+5*i)
+		if i == lines/2 {
+			text = strings.Repeat("x", 20000)
+		}
+		logger.WithField("text", text).Info("line")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := sink.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	have := 0
+	for _, part := range w.parts {
+		count := bytes.Count(part, []byte("\n"))
+		have += count
+		if part[len(part)-1] != '\n' || (len(part) > 8192 && count > 1) {
+			t.Errorf("have a write of %d bytes with %d lines that ends with %q, want whole lines of at most 8192 bytes", len(part), count, part[len(part)-1])
+		}
+	}
+	if have != lines {
+		t.Errorf("have %d lines, want %d", have, lines)
+	}
+}
