--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,242 @@
+// Package transport makes HTTP/1.1 calls in the calling goroutine. A planner makes thousands of small
+// calls a second, and the goroutines and channels that net/http's transport has for each connection
+// cost more than the calls themselves.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	readerBytes = 4 << 10
+	// maxInterim is how many interim responses (status 1xx) may precede a response.
+	maxInterim = 5
+)
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// Pool is an http.RoundTripper that keeps idle connections for later calls. It never sends a request
+// twice. Set the fields before the first call.
+type Pool struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxIdlePerHost is how many idle connections are kept for each address, and IdleTimeout for how
+	// long.
+	MaxIdlePerHost int
+	IdleTimeout    time.Duration
+	// CheckAfter is how long a connection may be idle before it is checked that the peer has not
+	// closed it.
+	CheckAfter time.Duration
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+	// sweptAt is when connections that were idle for too long were last closed.
+	sweptAt time.Time
+}
+
+var _ http.RoundTripper = (*Pool)(nil)
+
+// connection is an open connection and its unread input.
+type connection struct {
+	net.Conn
+	reader    *bufio.Reader
+	idleSince time.Time
+}
+
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
+// RoundTrip makes one call. The connection is used again once the response's body has been read to
+// its end; it is closed if the body is closed before or if the request's context ends.
+func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := request.Context()
+	c, err := p.connection(ctx, request.URL.Host)
+	if err != nil {
+		closeBody(request)
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
+	response, err := c.exchange(request)
+	if err != nil {
+		stop()
+		c.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			return nil, cause
+		}
+		return nil, fmt.Errorf("Pool.RoundTrip: %w", err)
+	}
+	response.Body = &body{ReadCloser: response.Body, pool: p, connection: c, host: request.URL.Host, stop: stop, ctx: ctx, keep: !response.Close && !request.Close}
+	return response, nil
+}
+
+func closeBody(request *http.Request) {
+	if request.Body != nil {
+		request.Body.Close()
+	}
+}
+
+// exchange sends a request and reads the response up to its body.
+func (c *connection) exchange(request *http.Request) (*http.Response, error) {
+	writer := writers.Get().(*bufio.Writer)
+	defer writers.Put(writer)
+	writer.Reset(c.Conn)
+	if err := request.Write(writer); err != nil {
+		return nil, err
+	}
+	if err := writer.Flush(); err != nil {
+		return nil, err
+	}
+	for range maxInterim {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, fmt.Errorf("the peer sent more than %d interim responses", maxInterim)
+}
+
+// connection returns an idle connection, or opens one.
+func (p *Pool) connection(ctx context.Context, host string) (*connection, error) {
+	for c := p.takeIdle(host); c != nil; c = p.takeIdle(host) {
+		if time.Since(c.idleSince) < p.CheckAfter || c.isOpen() {
+			return c, nil
+		}
+		c.Close()
+	}
+	conn, err := p.Dial(ctx, "tcp", host)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readerBytes)}, nil
+}
+
+// takeIdle removes and returns the connection that was used last; nil if there is none.
+func (p *Pool) takeIdle(host string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep()
+	kept := p.idle[host]
+	if len(kept) == 0 {
+		return nil
+	}
+	c := kept[len(kept)-1]
+	kept[len(kept)-1] = nil
+	p.idle[host] = kept[:len(kept)-1]
+	return c
+}
+
+// put keeps a connection for later calls.
+func (p *Pool) put(host string, c *connection) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[host]) >= p.MaxIdlePerHost {
+		c.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = map[string][]*connection{}
+	}
+	p.idle[host] = append(p.idle[host], c)
+}
+
+// sweep closes connections that were idle for longer than IdleTimeout. The caller holds mu.
+func (p *Pool) sweep() {
+	now := time.Now()
+	if now.Sub(p.sweptAt) < p.IdleTimeout/2 {
+		return
+	}
+	p.sweptAt = now
+	for host, all := range p.idle {
+		kept := all[:0]
+		for _, c := range all {
+			if now.Sub(c.idleSince) < p.IdleTimeout {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		clear(all[len(kept):])
+		if p.idle[host] = kept; len(kept) == 0 {
+			delete(p.idle, host)
+		}
+	}
+}
+
+// isOpen reports whether an idle connection is still open and silent. It reads without waiting.
+func (c *connection) isOpen() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok || c.reader.Buffered() > 0 {
+		return c.reader.Buffered() == 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var readErr error
+	var one [1]byte
+	err = raw.Read(func(descriptor uintptr) bool {
+		_, readErr = syscall.Read(int(descriptor), one[:])
+		return true
+	})
+	return err == nil && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
+}
+
+// body is the body of a response. It returns the connection to the pool at its end.
+type body struct {
+	io.ReadCloser
+	pool       *Pool
+	connection *connection
+	host       string
+	stop       func() bool
+	ctx        context.Context
+	keep       bool
+	done       bool
+}
+
+// Read reads from the body. An error other than io.EOF is the cause of the context's end, if it has
+// ended.
+func (b *body) Read(into []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	count, err := b.ReadCloser.Read(into)
+	switch {
+	case err == io.EOF:
+		b.finish(b.keep)
+	case err != nil:
+		b.finish(false)
+		if cause := context.Cause(b.ctx); cause != nil {
+			err = cause
+		}
+	}
+	return count, err
+}
+
+// Close closes the connection unless the body has been read to its end.
+func (b *body) Close() error {
+	b.finish(b.keep && b.ReadCloser == http.NoBody)
+	return nil
+}
+
+// finish gives the connection up, for later calls if keep is set.
+func (b *body) finish(keep bool) {
+	if b.done {
+		return
+	}
+	b.done = true
+	// If the context has ended, its deadline may still be set on the connection.
+	if b.stop() && keep {
+		b.pool.put(b.host, b.connection)
+		return
+	}
+	b.connection.Close()
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,200 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/transport"
+)
+
+func newClient() *http.Client {
+	dialer := &net.Dialer{}
+	return &http.Client{Transport: &transport.Pool{Dial: dialer.DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Minute}}
+}
+
+// post makes one call and returns the response's body.
+func post(t *testing.T, client *http.Client, url string) (string, error) {
+	t.Helper()
+	response, err := client.Post(url, "text/plain", strings.NewReader("question"))
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return string(text), err
+}
+
+func TestCallsShareAConnection(t *testing.T) {
+	var connections atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		w.Write([]byte(r.Host + " " + string(text)))
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	client := newClient()
+	for range 10 {
+		if have, err := post(t, client, server.URL); err != nil || !strings.HasSuffix(have, " question") {
+			t.Errorf("have %q, %v, want the question", have, err)
+		}
+	}
+	if have := connections.Load(); have != 1 {
+		t.Errorf("have %d connections for 10 calls, want 1", have)
+	}
+}
+
+// peer accepts connections and passes each with its number to serve.
+func peer(t *testing.T, serve func(number int, conn net.Conn)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(number, conn)
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// readRequest reads one request with its body.
+func readRequest(reader *bufio.Reader) error {
+	request, err := http.ReadRequest(reader)
+	if err == nil {
+		_, err = io.Copy(io.Discard, request.Body)
+	}
+	return err
+}
+
+// Guards against: work that ran is run again, because a request whose answer was lost is sent twice.
+func TestRequestWhoseAnswerIsLostIsNotSentAgain(t *testing.T) {
+	var requests atomic.Int32
+	url := peer(t, func(_ int, conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		for first := true; readRequest(reader) == nil; first = false {
+			requests.Add(1)
+			if !first {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	client := newClient()
+	if have, err := post(t, client, url); have != "ok" || err != nil {
+		t.Fatalf("first call: have %q, %v, want ok", have, err)
+	}
+	if have, err := post(t, client, url); err == nil {
+		t.Errorf("call whose answer was lost: have %q, want an error", have)
+	}
+	if have := requests.Load(); have != 2 {
+		t.Errorf("the peer received %d requests, want 2", have)
+	}
+}
+
+// Guards against: answers are mixed up after one that was cut short or not read to its end.
+func TestConnectionOfAnUnfinishedAnswerIsNotUsedAgain(t *testing.T) {
+	url := peer(t, func(number int, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) != nil {
+			return
+		}
+		if number == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort")
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	client := newClient()
+	if have, err := post(t, client, url); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("call with a short answer: have %q, %v, want io.ErrUnexpectedEOF", have, err)
+	}
+	if have, err := post(t, client, url); have != "ok" || err != nil {
+		t.Errorf("next call: have %q, %v, want ok", have, err)
+	}
+}
+
+// Guards against: a call to a silent peer goes on after its caller has given up.
+func TestCallEndsWithItsContext(t *testing.T) {
+	received := make(chan struct{})
+	url := peer(t, func(_ int, conn net.Conn) {
+		if readRequest(bufio.NewReader(conn)) == nil {
+			close(received)
+		}
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cause := errors.New("given up")
+	go func() { <-received; cancel(cause) }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := newClient().Do(request); !errors.Is(err, cause) {
+		t.Errorf("Do: have %v, want %v", err, cause)
+	}
+}
+
+// Guards against: an order fails because its peer has closed the idle connection before.
+func TestConnectionThatThePeerHasClosedIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	url := peer(t, func(number int, conn net.Conn) {
+		defer conn.Close()
+		if readRequest(bufio.NewReader(conn)) != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		if number == 0 {
+			conn.Close()
+			close(closed)
+		}
+	})
+	pool := &transport.Pool{Dial: (&net.Dialer{}).DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Minute, CheckAfter: time.Nanosecond}
+	client := &http.Client{Transport: pool}
+	for i := range 2 {
+		if have, err := post(t, client, url); have != "ok" || err != nil {
+			t.Errorf("call %d: have %q, %v, want ok", i, have, err)
+		}
+		<-closed
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("ok")) }))
+	defer server.Close()
+	dialer := &net.Dialer{}
+	for name, transport := range map[string]http.RoundTripper{
+		"pool":    &transport.Pool{Dial: dialer.DialContext, MaxIdlePerHost: 2, IdleTimeout: time.Minute},
+		"netHTTP": &http.Transport{DialContext: dialer.DialContext, DisableCompression: true},
+	} {
+		b.Run(name, func(b *testing.B) {
+			client := &http.Client{Transport: transport}
+			for b.Loop() {
+				response, err := client.Post(server.URL, "text/plain", strings.NewReader("question"))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				response.Body.Close()
+			}
+		})
+	}
+}
