Log lines are encoded without reflection

Cause: a fifth of the processor time that a loaded planner spends on its targets went into the encoding of its log (profile: 0.24 of 1.14 s). Change: names and values are appended to the line by their types; what needs escaping goes through encoding/json as before.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -37,17 +36,18 @@
 
 var _ log.Handler = (*Sink)(nil)
 
+// lines holds buffers for single lines.
+var lines = sync.Pool{New: func() any { return new([]byte) }}
+
 // HandleLog queues an entry, or drops it when the buffer is full. It always returns nil.
 func (s *Sink) HandleLog(entry *log.Entry) error {
-	line := make(map[string]any, len(entry.Fields)+3)
-	for name, value := range entry.Fields {
-		line[name] = fieldValue(value)
-	}
-	line["time"], line["level"], line["message"] = entry.Timestamp.UTC().Format("15:04:05.000"), entry.Level.String(), entry.Message
-	text, err := json.Marshal(line)
+	scratch := lines.Get().(*[]byte)
+	defer lines.Put(scratch)
+	text, err := appendLine((*scratch)[:0], entry)
 	if err != nil {
-		text = fmt.Appendf(nil, `{"level":"error","message":"log: an entry could not be encoded as JSON: %s"}`, entry.Message)
+		text = fmt.Appendf((*scratch)[:0], `{"level":"error","message":"log: an entry could not be encoded as JSON: %s"}`+"\n", entry.Message)
 	}
+	*scratch = text
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := s.BufferBytes
@@ -58,23 +58,10 @@
 		s.dropped++
 		return nil
 	}
-	s.buffer = append(append(s.buffer, text...), '\n')
+	s.buffer = append(s.buffer, text...)
 	return nil
 }
 
-// fieldValue returns durations, errors and Stringers as text, and other values as they are.
-func fieldValue(value any) any {
-	switch value := value.(type) {
-	case time.Duration:
-		return value.Round(time.Millisecond).String()
-	case error:
-		return value.Error()
-	case fmt.Stringer:
-		return value.String()
-	}
-	return value
-}
-
 // Run writes the buffered lines every flushPeriod until ctx ends, and then the rest. It stops
 // at the first error of a write and returns it.
 func (s *Sink) Run(ctx context.Context) error {
