New jobs are noticed within a second when the watch on them goes silent

Change: that watch waits for 0.3 s, not 1 s, before it is asked again. Test: TestNewJobsStartSoonWhenTheWatchOnThemGoesSilent failed with the wait of 1 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -33,7 +33,10 @@
 	maxStepPause    = 120 * time.Millisecond
 	// retryInterval is the pause before a failed call or an unanswered order is repeated.
 	retryInterval = 150 * time.Millisecond
-	maxWatchWait  = time.Second
+	// maxWatchWait bounds a watch on targets, and jobWatchWait one on jobs: a connection that went
+	// silent is noticed only when the watch should have returned, and until then no new job starts.
+	maxWatchWait = time.Second
+	jobWatchWait = 300 * time.Millisecond
 	// heartbeatInterval is the pause between two watches on targets, so that each returns many
 	// heartbeats.
 	heartbeatInterval = 250 * time.Millisecond
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/standin/batchstore"
 	"github.com/eelgrasstide/eelgrasstide/internal/standin/batchtarget"
@@ -72,6 +73,8 @@
 	removals chan<- keyvalue.Txn
 	// listDelay is how long, in nanoseconds, the answer to a list is under way.
 	listDelay atomic.Int64
+	// silentWatches is how many of the next watches on jobs go silent, until their time limit.
+	silentWatches atomic.Int64
 }
 
 var errCut = errkind.Ambiguous.New("reconnect the link", "coordinator_test.link: the host's link to the store is cut")
@@ -110,6 +113,10 @@
 		sleep(ctx, time.Second)
 		return keyvalue.Events{}, errCut
 	}
+	if prefix == records.JobPrefix && l.silentWatches.Add(-1) >= 0 {
+		sleep(ctx, wait+600*time.Millisecond)
+		return keyvalue.Events{}, errCut
+	}
 	return l.Service.Watch(ctx, prefix, after, wait)
 }
 
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -134,7 +134,7 @@
 func (s *session) watchJobs(ctx context.Context) error {
 	after := s.jobs
 	for ctx.Err() == nil {
-		events, err := s.Store.Watch(ctx, records.JobPrefix, after, maxWatchWait)
+		events, err := s.Store.Watch(ctx, records.JobPrefix, after, jobWatchWait)
 		items := events.Items
 		if err == nil && events.Compacted {
 			s.Log.WithField("after", after).Warn("coordinator: the history of jobs has been compacted; listing them again")
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -103,3 +103,25 @@
 		d.stopHosts()
 	})
 }
+
+// Guards against jobs that wait because the connection on which they would be announced has gone
+// silent, as all watches do when the store's history is compacted.
+func TestNewJobsStartSoonWhenTheWatchOnThemGoesSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		for _, link := range d.links {
+			link.silentWatches.Store(1)
+		}
+		d.submit()
+		time.Sleep(100 * time.Millisecond)
+		before := d.fleet.LastStart()
+		d.submit()
+		submitted := time.Now()
+		time.Sleep(1200 * time.Millisecond)
+		if last := d.fleet.LastStart(); !last.After(before) {
+			t.Errorf("no task was started %s after its job was accepted", time.Since(submitted))
+		}
+		d.stopHosts()
+	})
+}
