--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -98,77 +98,6 @@
 	s.wakeAt(now.Add(idlePassInterval))
 }
 
-// begin prepares a pass.
-func (p *pass) begin(s *Scheduler, now time.Time) {
-	p.s, p.now, p.reservations, p.searches, p.openNodes = s, now, 0, 0, p.openNodes[:0]
-	if p.unplaceable == nil {
-		p.unplaceable, p.couldHold, p.rackIndex, p.usage = map[unitRequirements]bool{}, map[unitRequirements]bool{}, map[string]int{}, map[string]*usage{}
-	}
-	clear(p.unplaceable)
-	clear(p.couldHold)
-	clear(p.usage)
-	for i := range p.racks {
-		p.racks[i], p.rackFree[i] = p.racks[i][:0], workload.Resources{}
-	}
-	for i := range p.withFree {
-		p.withFree[i] = p.withFree[i][:0]
-	}
-	if cap(p.capacities) < len(s.ordered) {
-		p.capacities = make([]freeCapacity, 0, len(s.ordered))
-	}
-	p.capacities = p.capacities[:0]
-	for _, n := range s.ordered {
-		if !p.isEligible(n) {
-			continue
-		}
-		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used)})
-		p.add(&p.capacities[len(p.capacities)-1])
-	}
-	for i := range p.capacities {
-		open := &p.capacities[i]
-		open.rack = p.rackIndex[open.Rack]
-	}
-}
-
-// add adds a target to the lists of the pass.
-func (p *pass) add(n *freeCapacity) {
-	p.openNodes = append(p.openNodes, n)
-	for i := int64(0); i <= min(n.free.Accelerators, maxFreeIndex); i++ {
-		p.withFree[i] = append(p.withFree[i], n)
-	}
-	rack := p.rack(n.Rack)
-	p.racks[rack] = append(p.racks[rack], n)
-	p.rackFree[rack] = p.rackFree[rack].Plus(n.free.AtLeastZero())
-	total := p.usage[n.Service]
-	if total == nil {
-		total = &usage{}
-		p.usage[n.Service] = total
-	}
-	total.used, total.whole = total.used.Plus(n.used), total.whole.Plus(n.Capacity)
-}
-
-// usage is how much of a service's capacity is in use.
-type usage struct{ used, whole workload.Resources }
-
-// candidateNodes returns the targets that may have enough free capacity for a task of the step.
-func (p *pass) candidateNodes(c *candidate) []*freeCapacity {
-	return p.withFree[max(0, min(c.step.spec.CapacityUse().Accelerators, maxFreeIndex))]
-}
-
-// rack returns the index of a rack.
-func (p *pass) rack(name string) int {
-	if index, known := p.rackIndex[name]; known {
-		return index
-	}
-	index, _ := slices.BinarySearch(p.rackNames, name)
-	p.rackNames, p.racks = slices.Insert(p.rackNames, index, name), slices.Insert(p.racks, index, nil)
-	p.rackFree = slices.Insert(p.rackFree, index, workload.Resources{})
-	for i, later := range p.rackNames[index:] {
-		p.rackIndex[later] = index + i
-	}
-	return index
-}
-
 // isEligible reports whether a target may be given new work.
 func (p *pass) isEligible(n *node) bool {
 	if !n.listed || n.Draining || !n.contacted || n.unresponsive(p.now) {
@@ -338,14 +267,6 @@
 	p.s.dirty[j.ID] = j
 }
 
-// take marks capacity of a target as used.
-func (p *pass) take(n *freeCapacity, use workload.Resources) {
-	n.free, p.rackFree[n.rack] = n.free.Minus(use), p.rackFree[n.rack].Minus(use)
-	total := p.usage[n.Service]
-	total.used = total.used.Plus(use)
-	n.hasReleases, n.hasVictims = false, false
-}
-
 // StartPayload returns the payload and the checkpoint to send with a start; both are empty if
 // the start is no longer wanted.
 func (s *Scheduler) StartPayload(start Start) (payload, checkpoint string) {
