--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -210,7 +211,7 @@
 	}
 	count, err := b.ReadCloser.Read(into)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		b.finish(b.keep)
 	case err != nil:
 		b.finish(false)
