A submission's record that describes no valid job is ignored

A record of job/ID/submitted without steps, an empty value for instance, made the scheduler index an empty list: the planner's process ended, and each successor's too. Change: the record has to describe a valid job of that ID, or it is logged and ignored. Test: TestMalformedSubmissionIsIgnored ended with that panic first.

--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -111,7 +111,12 @@
 		s.Log.WithError(err).WithField("key", item.Key).Error("coordinator: a submission's record cannot be decoded; the job is ignored")
 		return
 	}
-	s.plan.Restore(time.Now(), workload.FromRecord(record), progress[records.ProgressKey(id)])
+	job := workload.FromRecord(record)
+	if err := job.Validate(); err != nil || job.ID != id {
+		s.Log.WithFields(log.Fields{"key": item.Key, "job": job.ID, "cause": err}).Error("coordinator: a submission's record describes no valid job; it is ignored")
+		return
+	}
+	s.plan.Restore(time.Now(), job, progress[records.ProgressKey(id)])
 }
 
 // processTarget passes a target's entry to the scheduler. The session's lock must be held.
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
 )
 
@@ -125,3 +126,27 @@
 		d.stopHosts()
 	})
 }
+
+// Guards against: one malformed message ends a process. A submission's record that describes no job
+// made the planner's loop panic with its lock held, and each successor's too.
+func TestMalformedSubmissionIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		puts := []keyvalue.Put{{Key: records.SubmittedKey("00000000000000fe")}, {Key: records.SubmittedKey("00000000000000ff"), Value: []byte("no record")}}
+		if _, err := d.store.Commit(context.Background(), keyvalue.Txn{Puts: puts}); err != nil {
+			t.Fatalf("Store.Commit: %v", err)
+		}
+		time.Sleep(time.Second)
+		before := d.fleet.LastStart()
+		d.submit()
+		time.Sleep(2 * time.Second)
+		if !d.fleet.LastStart().After(before) {
+			t.Error("no task was started after the malformed records")
+		}
+		d.restartHosts()
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
