An unreadable progress record stops only its own job

Cause: a planner repeated its whole reading of the store for as long as one progress record could not be decoded, so no host could take over. Change: the record is logged; its job is neither started nor ended, since what it has run is not known, also when the jobs are listed again; all others go on. Test: TestUnreadableProgressStopsOnlyItsJob failed first.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -90,6 +90,10 @@
 	// jobs has reached it. What the store returns from before that revision is out of date.
 	removals map[string]int64
 
+	// unreadable holds the keys of the progress records that cannot be decoded. What their jobs have
+	// run is not known, so these must not start.
+	unreadable map[string]bool
+
 	stepSignal chan struct{}
 	// context ends with the term. It is kept here for the agents, which are started as
 	// targets appear.
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -63,17 +63,10 @@
 			return err
 		}
 	}
-	progress := map[string]*wire.ProgressRecord{}
-	for _, item := range progressItems {
-		record := &wire.ProgressRecord{}
-		if err := records.Decode(item.Value, record); err != nil {
-			return err
-		}
-		progress[item.Key] = record
-	}
+	progress, unreadable := s.decodeProgress(progressItems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targetsRevision, s.jobs = targetsRevision, jobsRevision
+	s.targetsRevision, s.jobs, s.unreadable = targetsRevision, jobsRevision, unreadable
 	if current := s.Catalogue(); current != nil {
 		s.catalogueVersion = current.Version
 		s.plan.Configure(current)
@@ -86,6 +79,21 @@
 	return nil
 }
 
+// decodeProgress decodes progress records, by key, and returns the keys of those that are unreadable.
+func (s *session) decodeProgress(items []keyvalue.Item) (progress map[string]*wire.ProgressRecord, unreadable map[string]bool) {
+	progress, unreadable = map[string]*wire.ProgressRecord{}, map[string]bool{}
+	for _, item := range items {
+		record := &wire.ProgressRecord{}
+		if err := records.Decode(item.Value, record); err != nil {
+			s.Log.WithError(err).WithField("key", item.Key).Error("coordinator: a progress record cannot be decoded; its job is neither started nor ended")
+			unreadable[item.Key] = true
+			continue
+		}
+		progress[item.Key] = record
+	}
+	return progress, unreadable
+}
+
 // processJobs processes submissions and then cancellations, because a list in the order of the
 // keys has a job's cancellation before its submission. The session's lock must be held.
 func (s *session) processJobs(items []keyvalue.Item, progress map[string]*wire.ProgressRecord) {
@@ -103,7 +111,7 @@
 
 // processSubmission adds a submitted job to the scheduler. The session's lock must be held.
 func (s *session) processSubmission(id string, item keyvalue.Item, progress map[string]*wire.ProgressRecord) {
-	if s.plan.HasJob(id) || item.Revision <= s.removals[id] {
+	if s.plan.HasJob(id) || item.Revision <= s.removals[id] || s.unreadable[records.ProgressKey(id)] {
 		return
 	}
 	record := &wire.SubmissionRecord{}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
 // Guards against lost jobs: when an order finds that the term has not been confirmed for too long,
@@ -150,3 +151,42 @@
 		}
 	})
 }
+
+// Guards against: one malformed message keeps every planner from taking over. What the job of an
+// unreadable progress record has run is not known, so it must not start either.
+func TestUnreadableProgressStopsOnlyItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		d.stopHosts()
+		unreadable := &workload.Job{ID: "00000000000000ff", Queue: "q0", Organisation: "o", Accepted: time.Now(), Steps: []workload.Step{{Count: 1, Estimate: time.Second}}}
+		value, err := records.Encode(unreadable.Record())
+		if err != nil {
+			t.Fatal(err)
+		}
+		puts := []keyvalue.Put{{Key: records.SubmittedKey(unreadable.ID), Value: value}, {Key: records.ProgressKey(unreadable.ID), Value: []byte("no record")}}
+		if _, err := d.store.Commit(context.Background(), keyvalue.Txn{Puts: puts}); err != nil {
+			t.Fatalf("Store.Commit: %v", err)
+		}
+		for i := range d.links {
+			d.startHost(i)
+		}
+		before := d.fleet.LastStart()
+		time.Sleep(10 * time.Second)
+		if last := d.fleet.LastStart(); last != before {
+			t.Error("a task was started whose progress cannot be read")
+		}
+		// The planner lists all jobs again.
+		d.store.Compact()
+		time.Sleep(3 * time.Second)
+		if last := d.fleet.LastStart(); last != before {
+			t.Error("a task was started whose progress cannot be read, after the jobs were listed again")
+		}
+		d.submit()
+		time.Sleep(2 * time.Second)
+		if !d.fleet.LastStart().After(before) {
+			t.Error("no task was started with an unreadable record in the store")
+		}
+		d.stopHosts()
+	})
+}
