--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 
-.PHONY: build demo test prove measure capacity lint format generate soak soak-short
+.PHONY: bench build demo test prove measure capacity lint format generate soak soak-short
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -17,6 +17,9 @@
 generate:
 	./schema/generate.sh
 
+bench:
+	tools/bench.sh $(COMMIT)
+
 prove: build
 	go run ./test/prove $(BIN) $(SEED)
 
