The starts of a job follow its own transaction

The objective of an urgent job is about 4 s. Change: jobs with starts are written first, in the order of the decisions, and their starts are released as soon as their record is durable. Ends are acknowledged after the whole batch, as before. Test: TestStartsFollowTheirOwnTransaction failed first.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -81,26 +81,85 @@
 		if err := s.writeBatch(ctx, next); err != nil {
 			return err
 		}
-		s.release(next)
+		s.releaseEnds(next.processed)
 	}
 }
 
-// release acknowledges the ended runs and queues the starts that waited for the commit.
-func (s *session) release(written batch) {
+// releaseEnds acknowledges the ended runs of a batch whose writes are all durable.
+func (s *session) releaseEnds(processed map[string]scheduler.EndNumber) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, processed := range written.processed {
-		if s.plan.TargetStatus(time.Now(), id).Listing.Born == processed.Born {
-			s.agent(id).setDurable(processed)
+	for id, last := range processed {
+		if s.plan.TargetStatus(time.Now(), id).Listing.Born == last.Born {
+			s.agent(id).setDurable(last)
 		}
 	}
-	for _, start := range written.starts {
+}
+
+// releaseStarts queues starts whose records are durable.
+func (s *session) releaseStarts(starts []scheduler.Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, start := range starts {
 		s.agent(start.Target).start(start)
 	}
 }
 
-// writeBatch writes a batch in as many transactions as its size requires.
+// order returns the jobs of a batch in the order in which they are written, and the starts of each.
+// Jobs with starts come first, in the order in which these were decided.
+func (b *batch) order() ([]string, map[string][]scheduler.Start) {
+	jobs, starts := make([]string, 0, len(b.writes)), map[string][]scheduler.Start{}
+	for _, start := range b.starts {
+		id := start.Run.Task.Job
+		if starts[id] == nil {
+			jobs = append(jobs, id)
+		}
+		starts[id] = append(starts[id], start)
+	}
+	for id := range b.writes {
+		if starts[id] == nil {
+			jobs = append(jobs, id)
+		}
+	}
+	return jobs, starts
+}
+
+// writeBatch writes a batch in as many transactions as its size requires. The starts of a job are
+// released as soon as its record is durable.
 func (s *session) writeBatch(ctx context.Context, next batch) error {
+	jobs, starts := next.order()
+	for len(jobs) > 0 {
+		var puts []keyvalue.Put
+		var released []scheduler.Start
+		count, bytes := 0, 0
+		for count < min(len(jobs), maxCommitPuts) {
+			id := jobs[count]
+			record := next.writes[id]
+			if record == nil {
+				// An empty record would erase what is known of the job's runs.
+				return errkind.Invalid.New("report this as a defect", "session.writeBatch: job %s has starts but no record", id)
+			}
+			value, err := records.Encode(record)
+			if err != nil {
+				return err
+			}
+			if bytes += len(value); count > 0 && bytes > maxCommitBytes {
+				break
+			}
+			puts, released = append(puts, keyvalue.Put{Key: records.ProgressKey(id), Value: value}), append(released, starts[id]...)
+			count++
+		}
+		if err := s.transact(ctx, puts, nil); err != nil {
+			return err
+		}
+		s.releaseStarts(released)
+		jobs = jobs[count:]
+	}
+	return s.writeSummaries(ctx, next)
+}
+
+// writeSummaries writes the counts of pending jobs and the speeds of a batch.
+func (s *session) writeSummaries(ctx context.Context, next batch) error {
 	puts := []keyvalue.Put{}
 	if next.pending != nil {
 		value, err := records.Encode(&wire.PendingRecord{Queues: next.pending})
@@ -116,25 +175,10 @@
 		}
 		puts = append(puts, keyvalue.Put{Key: records.SpeedsKey, Value: value})
 	}
-	for id, record := range next.writes {
-		value, err := records.Encode(record)
-		if err != nil {
-			return err
-		}
-		puts = append(puts, keyvalue.Put{Key: records.ProgressKey(id), Value: value})
-	}
-	for len(puts) > 0 {
-		count, bytes := 0, 0
-		for count < len(puts) && count < maxCommitPuts && (count == 0 || bytes+len(puts[count].Value) < maxCommitBytes) {
-			bytes += len(puts[count].Value)
-			count++
-		}
-		if err := s.transact(ctx, puts[:count], nil); err != nil {
-			return err
-		}
-		puts = puts[count:]
+	if len(puts) == 0 {
+		return nil
 	}
-	return nil
+	return s.transact(ctx, puts, nil)
 }
 
 // transact commits a transaction that is conditional on the term and on the sequence, and
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -75,6 +75,10 @@
 	listDelay atomic.Int64
 	// silentWatches is how many of the next watches on jobs go silent, until their time limit.
 	silentWatches atomic.Int64
+	// commitDelay is how long, in nanoseconds, the answer to a large commit is under way; commits counts
+	// the large commits that were answered.
+	commitDelay atomic.Int64
+	commits     atomic.Int64
 }
 
 var errCut = errkind.Ambiguous.New("reconnect the link", "coordinator_test.link: the host's link to the store is cut")
@@ -87,7 +91,12 @@
 	if len(txn.Deletes) > 0 && l.removals != nil {
 		l.removals <- txn
 	}
-	return l.Service.Commit(ctx, txn)
+	result, err := l.Service.Commit(ctx, txn)
+	if delay := time.Duration(l.commitDelay.Load()); delay > 0 && len(txn.Puts) > 10 {
+		sleep(ctx, delay)
+		l.commits.Add(1)
+	}
+	return result, err
 }
 
 func (l *link) KeepAlive(ctx context.Context, lease int64) (bool, error) {
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
@@ -190,3 +192,38 @@
 		d.stopHosts()
 	})
 }
+
+// Guards against urgent jobs that wait while the records of others are written: a surge of jobs, or a
+// takeover, takes many transactions, and the starts of the first ones are due after their own.
+func TestStartsFollowTheirOwnTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		d.stopHosts()
+		for range 45 {
+			d.submitted++
+			id := fmt.Sprintf("%016x", d.submitted)
+			job := &workload.Job{ID: id, Payload: "payload of " + id, Steps: []workload.Step{{
+				Count: 1, Estimate: time.Second, Needs: workload.Resources{MilliCores: 1000, MemoryMB: 100},
+			}}}
+			d.fleet.ExpectJob(job)
+			if err := d.intake.Submit(t.Context(), intake.Call{Queue: "q0", Organisation: "o", ID: id}, job); err != nil {
+				t.Fatal(err)
+			}
+		}
+		d.links[0].commitDelay.Store(int64(400 * time.Millisecond))
+		d.startHost(0)
+		for d.links[0].commits.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if d.fleet.LastStart().IsZero() {
+			t.Error("no task was started after the first transaction of its planner")
+		}
+		d.links[0].commitDelay.Store(0)
+		for i := range d.links[1:] {
+			d.startHost(1 + i)
+		}
+		d.stopHosts()
+	})
+}
