--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -65,7 +65,8 @@
 // usage is how much of a service's capacity is in use.
 type usage struct{ used, whole workload.Resources }
 
-// candidateNodes returns the targets that may have enough free capacity for a task of the step.
+// candidateNodes returns the targets that had enough free accelerators for a task of the step at the
+// start of the pass.
 func (p *pass) candidateNodes(c *candidate) []*freeCapacity {
 	return p.withFree[max(0, min(c.step.spec.CapacityUse().Accelerators, maxFreeIndex))]
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -53,7 +53,7 @@
 	rackNames  []string
 	rackIndex  map[string]int
 	capacities []freeCapacity
-	// withFree holds, by the number of free accelerators at the begin of the pass, the targets
+	// withFree holds, by the number of free accelerators at the start of the pass, the targets
 	// that had so many or more; the last entry is for all higher numbers too.
 	withFree [maxFreeIndex + 1][]*freeCapacity
 	// rackFree sums the free capacity of each rack.
