--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -453,20 +453,50 @@
 // Guards against tasks that wait for a dead target: a lease that was granted by the clock of an entry
 // before the first report has ended when that report's clock says so.
 func TestFirstReportCorrectsTheEndOfTheLease(t *testing.T) {
-	f := newFixture(t, 0)
-	job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{smallStep(1)}}
-	f.Restore(f.now, job, &wire.ProgressRecord{
-		Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitRecord{{Run: 1, Targets: []string{"t0"}}},
-	})
-	entry := f.listing(0)
-	entry.Clock = f.clock() + time.Hour
-	f.TargetListed(f.now, entry)
-	f.TargetListed(f.now, f.listing(1))
-	f.Deadline(f.now, "t0")
-	f.report(0, target.Report{Running: []target.Running{{Run: target.Run{Task: target.Task{Job: "a"}, Number: 1}}}})
-	f.RenewalSent(f.now.Add(time.Millisecond), "t0")
-	f.TargetUnlisted(f.now, "t0")
-	f.advance(lease + 2*time.Second)
-	f.report(1, target.Report{})
-	f.wantNextRun("t0 is gone and has been silent for longer than a lease")
+	for name, tt := range map[string]struct {
+		listed bool
+		// earliest and latest bound the next start, counted from the last order.
+		earliest, latest time.Duration
+	}{
+		"entry removed": {false, lease, lease + 3*time.Second},
+		"entry stays":   {true, lease + 5*time.Second, lease + 8*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{smallStep(1)}}
+			f.Restore(f.now, job, &wire.ProgressRecord{
+				Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitRecord{{Run: 1, Targets: []string{"t0"}}},
+			})
+			entry := f.listing(0)
+			entry.Clock = f.clock() + time.Hour
+			f.TargetListed(f.now, entry)
+			f.TargetListed(f.now, f.listing(1))
+			f.Deadline(f.now, "t0")
+			f.report(0, target.Report{Running: []target.Running{{Run: target.Run{Task: target.Task{Job: "a"}, Number: 1}}}})
+			f.RenewalSent(f.now.Add(time.Millisecond), "t0")
+			if !tt.listed {
+				f.TargetUnlisted(f.now, "t0")
+			}
+			f.wantNextRunBetween(tt.earliest, tt.latest)
+		})
+	}
+}
+
+// wantNextRunBetween makes steps, while t1 reports, until a run is started, and fails unless that is run
+// 2 on t1 between two times from now.
+func (f *fixture) wantNextRunBetween(earliest, latest time.Duration) {
+	f.t.Helper()
+	begun := f.now
+	for ; f.now.Sub(begun) <= latest; f.advance(100 * time.Millisecond) {
+		f.report(1, target.Report{})
+		starts := f.Step(f.now).Starts
+		if len(starts) == 0 {
+			continue
+		}
+		if after := f.now.Sub(begun); len(starts) != 1 || starts[0].Run.Number != 2 || starts[0].Target != "t1" || after < earliest {
+			f.t.Errorf("have starts %v after %s, want run 2 on t1 after %s at the earliest", starts, after, earliest)
+		}
+		return
+	}
+	f.t.Errorf("have no start within %s", latest)
 }
