--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -53,6 +53,10 @@
 	// late, if set, returns for how long a transaction that writes a key is neither answered nor
 	// carried out. It is then carried out if its condition still holds.
 	late func(caller, key string) time.Duration
+	// writesPerS, if set, limits the writes in a second; written counts those of a tenth of a second.
+	writesPerS int
+	tenth      int64
+	written    int
 }
 
 func newStore(r *record) *store {
@@ -245,6 +249,10 @@
 		answer(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
+	if s.overLimit() {
+		answer(w, http.StatusTooManyRequests, map[string]any{})
+		return
+	}
 	if s.late != nil {
 		for _, put := range txn.Puts {
 			if delay := s.late(caller, put.Key); delay > 0 {
@@ -262,6 +270,17 @@
 	answer(w, status, body)
 }
 
+// overLimit counts a write and reports whether it is beyond the limit of its tenth of a second.
+func (s *store) overLimit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now().UnixMilli() / 100; now != s.tenth {
+		s.tenth, s.written = now, 0
+	}
+	s.written++
+	return s.writesPerS > 0 && s.written > s.writesPerS/10
+}
+
 // apply carries out a transaction as a whole or not at all.
 func (s *store) apply(txn transaction, caller string) (int, any) {
 	s.mu.Lock()
