--- a/review/standin/case_hangup.go
+++ b/review/standin/case_hangup.go
@@ -52,7 +52,8 @@
 type lossCheck struct {
 	world *world
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// stopping holds when each host last got SIGTERM.
 	stopping map[*host]time.Time
 	calls    int
 	ended    int
@@ -72,9 +73,6 @@
 		})
 	}
 	h.end(syscall.SIGTERM)
-	l.mu.Lock()
-	l.stopping[h] = time.Time{}
-	l.mu.Unlock()
 	if err := h.start(); err != nil {
 		l.world.failure = err
 	}
@@ -139,7 +137,7 @@
 	after, stopping := time.Since(sent), l.stopping[h]
 	l.ended++
 	l.world.record.add("client: the connection to %s ended %s after the call was sent, without an answer: %v", h.name, after, err)
-	if !stopping.IsZero() && after > lossSlack && after < clientDeadline {
+	if time.Since(stopping) < (graceS+1)*time.Second && after > lossSlack && after < clientDeadline {
 		l.world.violation("LOST: a call to %s, which had got SIGTERM %s before, was cut off %s after it was sent", h.name, time.Since(stopping).Round(time.Millisecond), after.Round(time.Millisecond))
 	}
 	return pause, false
