A job keeps its queue's terms when the queue is gone

Cause: a job was stored with its queue's name alone. Service, priority, attempts and objective were looked up in whatever configuration the planner had when it learned of the job; without the queue there the service was empty, which fits no target, and attempts had no limit. A hand-over isn't needed: a host that still has the old version accepts a job whose queue the planner no longer has; a host has the new version and the planner not yet; the name is given to another queue.

Change: the submission's record carries the terms that the accepting host checked, with their version (package terms). The planner takes those of its configuration if that is not older and has the same queue (name, host, prefix); terms that change are written to the job's progress with their version, and the newest counts. So a job's fate no longer depends on who plans, or since when.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -154,12 +154,15 @@
 	// because the hosts were suspended.
 	suspended atomic.Int64
 	// renewed is called by the hosts that start from now on; see tracedTargets.
-	renewed       func(id string, order target.RenewOrder, answer target.Answer)
-	stopHost      []context.CancelFunc
-	hostEnded     []chan struct{}
-	intake        *intake.Intake
-	configuration *catalogue.Catalogue
-	accepted      map[string]*workload.Job
+	renewed   func(id string, order target.RenewOrder, answer target.Answer)
+	stopHost  []context.CancelFunc
+	hostEnded []chan struct{}
+	intake    *intake.Intake
+	// configuration is in force at the hosts that plan, and at the intake unless a test sets another.
+	configuration atomic.Pointer[catalogue.Catalogue]
+	// removed is the queue that toggleQueue removed last.
+	removed  catalogue.Queue
+	accepted map[string]*workload.Job
 	// cancelled holds the jobs for which a cancellation was sent, whatever the answer.
 	cancelled   map[string]bool
 	incarnation int64
@@ -174,20 +177,21 @@
 	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, LateOrdersOutliveRestarts: *lateOrdersOutlive, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
-	d.configuration = &catalogue.Catalogue{
+	configuration := &catalogue.Catalogue{
 		Version: 1, Services: map[string]catalogue.Service{"s": {Name: "s"}},
 		Organisations: map[string]catalogue.Organisation{"o": {Name: "o", GuaranteedAccelerators: 8}}, OrganisationByKey: map[string]string{"k": "o"},
 	}
 	for priority := range 3 {
 		name := fmt.Sprintf("q%d", priority)
-		d.configuration.Queues = append(d.configuration.Queues, catalogue.Queue{
+		configuration.Queues = append(configuration.Queues, catalogue.Queue{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Service: "s", Priority: priority, MaxAttempts: attempts, StretchFactor: 2,
 		})
 	}
+	d.configuration.Store(configuration)
 	for i := range targetCount {
 		d.addTarget(i, false)
 	}
-	d.intake = &intake.Intake{Store: d.store, Catalogue: func() *catalogue.Catalogue { return d.configuration }, Metrics: metrics.NewRegistry(), Log: d.trace.named("calls")}
+	d.intake = &intake.Intake{Store: d.store, Catalogue: d.configuration.Load, Metrics: metrics.NewRegistry(), Log: d.trace.named("calls")}
 	for i := range hostCount {
 		d.links = append(d.links, &link{Service: d.store})
 		d.stopHost, d.hostEnded = append(d.stopHost, nil), append(d.hostEnded, nil)
@@ -248,7 +252,7 @@
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: func() *catalogue.Catalogue { return d.configuration },
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
@@ -290,6 +294,20 @@
 	}
 }
 
+// toggleQueue puts a version of the configuration in force that has no queue q0, or has it again.
+func (d *deployment) toggleQueue() {
+	current := d.configuration.Load()
+	q0, ok := current.Queue("q0")
+	if ok {
+		d.removed = *q0
+		d.reconfigure(removeQueue)
+		return
+	}
+	d.reconfigure(func(queues []catalogue.Queue) []catalogue.Queue {
+		return append([]catalogue.Queue{d.removed}, queues...)
+	})
+}
+
 func (d *deployment) submit() {
 	d.submitted++
 	id := fmt.Sprintf("%016x", d.submitted)
@@ -305,10 +323,14 @@
 		job.Steps = append(job.Steps, second)
 	}
 	d.fleet.ExpectJob(job)
-	call := intake.Call{Queue: fmt.Sprintf("q%d", d.random.IntN(3)), Organisation: "o", ID: id}
+	call, err := d.intake.Admit("", "h", fmt.Sprintf("/q%d/%s", d.random.IntN(3), id), "k")
+	if err != nil {
+		// The queue is removed at present; see toggleQueue.
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	err := d.intake.Submit(ctx, call, job)
+	err = d.intake.Submit(ctx, call, job)
 	if err == nil {
 		d.accepted[id] = job
 	}
@@ -382,6 +404,10 @@
 			d.fleet.DelayRenewals(targetID(targetIndex), count)
 		}
 	case 12:
+		if step >= variantStep {
+			d.toggleQueue()
+			break
+		}
 		d.store.Compact()
 	case 13:
 		if step >= variantStep {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
+	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -53,6 +54,8 @@
 	Request      string
 	Queue        string
 	Organisation string
+	// Terms are the queue's settings for a job that this call submits.
+	Terms terms.Terms
 	// ID is the job's ID; empty for a call about the whole queue.
 	ID string
 	// MaxBodyBytes limits the body of a submission; 0 if the configuration has no limit.
@@ -75,7 +78,7 @@
 	if !ok {
 		return Call{}, i.reject(call, errkind.NotFound.New("check the host and the path", "Intake.Admit: no queue at %s%s in configuration version %d", host, path, current.Version))
 	}
-	call.Queue, call.timeout = queue.Name, queue.Timeout
+	call.Queue, call.Terms, call.timeout = queue.Name, terms.Of(current.Version, queue), queue.Timeout
 	organisation, known := current.OrganisationByKey[key]
 	if !known && !queue.Public {
 		return Call{}, i.reject(call, errkind.Denied.New("send an API key of your organisation", "Intake.Admit: the API key is not in configuration version %d", current.Version))
@@ -99,7 +102,7 @@
 	ctx, cancel := i.bound(ctx, call)
 	defer cancel()
 	start := time.Now()
-	job.Queue, job.Organisation, job.Accepted = call.Queue, call.Organisation, start
+	job.Queue, job.Organisation, job.Accepted, job.AcceptedTerms = call.Queue, call.Organisation, start, call.Terms
 	if err := job.Validate(); err != nil {
 		return i.reject(call, err)
 	}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -126,7 +126,7 @@
 			}
 			for _, st := range o.steps {
 				if startableUnits := s.startableUnits(now, st); len(startableUnits) > 0 {
-					c := &candidate{step: st, startableUnits: startableUnits, guaranteed: j.queue.Priority == 0 && guaranteeCovered[j.Organisation]}
+					c := &candidate{step: st, startableUnits: startableUnits, guaranteed: j.terms.Priority == 0 && guaranteeCovered[j.Organisation]}
 					c.guaranteeOverdue = c.guaranteed && now.Sub(o.due) >= guaranteeWait
 					c.score = s.score(now, c)
 					out = append(out, c)
@@ -188,7 +188,7 @@
 func (s *Scheduler) guaranteeCovered() map[string]bool {
 	needs := map[string]int64{}
 	for _, j := range s.open {
-		if j.queue.Priority == 0 {
+		if j.terms.Priority == 0 {
 			needs[j.Organisation] += j.maxAccelerators()
 		}
 	}
@@ -242,10 +242,10 @@
 // grows with the work, so it uses the measured durations of the steps rather than the caller's
 // estimates.
 func (s *Scheduler) objective(o *occurrence) time.Duration {
-	queue := &o.steps[0].job.queue
-	return time.Duration(queue.StretchFactor*float64(criticalPath(len(o.steps), func(i int) (time.Duration, []int) {
+	terms := &o.steps[0].job.terms
+	return time.Duration(terms.StretchFactor*float64(criticalPath(len(o.steps), func(i int) (time.Duration, []int) {
 		return s.taskDuration(o.steps[i]), o.steps[i].spec.After
-	}))) + queue.RuntimeObjective
+	}))) + terms.RuntimeObjective
 }
 
 // worth returns the credit that a job earns if it ends on time. Credit is the unit in which
@@ -255,7 +255,7 @@
 	if mean := j.estimate.work; mean > 0 {
 		relative = min(j.work/mean, maxRelativeWork)
 	}
-	return priorityWorth[min(max(j.queue.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
+	return priorityWorth[min(max(j.terms.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
 }
 
 func compareRuns(a, b target.Run) int {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
+	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -12,7 +12,8 @@
 // job is a job with the state of its occurrences.
 type job struct {
 	*workload.Job
-	queue catalogue.Queue
+	// terms are those that the job is subject to now.
+	terms terms.Terms
 	phase wire.JobPhase
 	// begun says that a target has accepted or listed a run of the job.
 	begun       bool
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -139,7 +139,7 @@
 func (c *candidate) requirements() unitRequirements {
 	spec := c.step.spec
 	requirements := unitRequirements{
-		service: c.step.job.queue.Service, needs: spec.CapacityUse(), count: 1, gang: spec.Gang, sameRack: spec.SameRack,
+		service: c.step.job.terms.Service, needs: spec.CapacityUse(), count: 1, gang: spec.Gang, sameRack: spec.SameRack,
 		label: spec.RequiredLabel, dataRack: spec.DataRack,
 	}
 	if spec.Gang {
@@ -156,7 +156,7 @@
 // fits reports whether one more task of the step may run on a target.
 func (p *pass) fits(c *candidate, n *freeCapacity) bool {
 	spec := c.step.spec
-	if n.Service != c.step.job.queue.Service || !spec.CapacityUse().Fits(n.free) || !n.hasLabel(spec.RequiredLabel) {
+	if n.Service != c.step.job.terms.Service || !spec.CapacityUse().Fits(n.free) || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
 	if n.reserved != nil && n.reserved != c.step {
@@ -205,7 +205,7 @@
 // mostlyUsed reports whether so much of a service is in use that a gang spread over racks,
 // which runs longer, would take capacity that others need.
 func (p *pass) mostlyUsed(c *candidate) bool {
-	total := p.usage[c.step.job.queue.Service]
+	total := p.usage[c.step.job.terms.Service]
 	return total != nil && total.used.DominantShare(total.whole) > mostlyUsedShare
 }
 
@@ -225,7 +225,7 @@
 	for _, rack := range p.racks {
 		total := 0
 		for _, n := range rack {
-			if n.Service != c.step.job.queue.Service || !n.hasLabel(spec.RequiredLabel) {
+			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) {
 				continue
 			}
 			limit := count
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -72,7 +72,7 @@
 // probably be late on the free ones. It reports whether capacity is reserved for the
 // candidate, which waits for it only once.
 func (p *pass) preemptFaster(c *candidate, chosen placement) bool {
-	if c.step.job.queue.Priority != 0 || c.guaranteeOverdue || c.lateProbability(chosen.runSeconds) < likelyLate {
+	if c.step.job.terms.Priority != 0 || c.guaranteeOverdue || c.lateProbability(chosen.runSeconds) < likelyLate {
 		return false
 	}
 	until := c.step.preemptFasterAt.Add(p.s.Limits.StopTime + fasterTargetWait)
@@ -167,7 +167,7 @@
 	}
 	var options []option
 	for _, n := range openNodes {
-		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.queue.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
+		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
 			continue
 		}
 		free := n.free
@@ -248,7 +248,7 @@
 // isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
 // and not being stopped there already.
 func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
-	if u.step.job.queue.Priority <= c.step.job.queue.Priority {
+	if u.step.job.terms.Priority <= c.step.job.terms.Priority {
 		return false
 	}
 	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -17,6 +18,9 @@
 	if !j.ended.IsZero() {
 		record.Ended = timestamppb.New(j.ended)
 	}
+	if !j.terms.SameSettings(j.AcceptedTerms) {
+		record.Terms = j.terms.Record()
+	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for _, u := range st.units {
@@ -47,14 +51,17 @@
 // are inherited until the targets' reports or the end of their leases show what became of
 // them.
 func (s *Scheduler) Restore(now time.Time, submitted *workload.Job, progress *wire.ProgressRecord) {
-	s.Submit(now, submitted)
-	j := s.jobs[submitted.ID]
 	if progress == nil {
+		s.Submit(now, submitted)
 		return
 	}
+	s.initialise()
+	j := s.add(now, submitted, submitted.AcceptedTerms.Newer(terms.FromRecord(progress.GetTerms())))
 	j.phase = progress.GetPhase()
 	if ended(j.phase) {
 		delete(s.open, j.ID)
+	} else {
+		s.setTerms(j, s.catalogue)
 	}
 	if progress.GetEnded() != nil {
 		j.ended = progress.GetEnded().AsTime()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -179,7 +179,7 @@
 	u.failureCounted = true
 	u.failures++
 	j := u.step.job
-	if j.queue.MaxAttempts > 0 && u.failures >= j.queue.MaxAttempts && !ended(j.phase) {
+	if j.terms.MaxAttempts > 0 && u.failures >= j.terms.MaxAttempts && !ended(j.phase) {
 		s.endJob(now, j, failedPhase, "a task failed in all its attempts")
 	}
 }
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -11,7 +11,7 @@
 // valuable runs where that is worthwhile, otherwise on the targets that are expected to have
 // enough free capacity first.
 func (p *pass) reserve(c *candidate) {
-	if c.step.job.queue.Priority == 0 && p.preempt(c) {
+	if c.step.job.terms.Priority == 0 && p.preempt(c) {
 		return
 	}
 	if p.reservations >= maxReservations {
@@ -51,7 +51,7 @@
 	}
 	var options []option
 	for _, n := range openNodes {
-		if n.reserved != nil || n.Service != c.step.job.queue.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
+		if n.reserved != nil || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
 			continue
 		}
 		at, ok := p.capacityAt(c.step.spec, n)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
+	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -126,30 +127,51 @@
 	s.initialise()
 	s.catalogue = configuration
 	for _, j := range s.open {
-		if queue, ok := configuration.Queue(j.Queue); ok {
-			j.queue = *queue
-		}
+		s.setTerms(j, configuration)
+	}
+}
+
+// setTerms makes a job subject to its terms under a configuration. The job's progress is written if
+// they have other settings than before, so that a later planner knows them even if the queue is gone
+// by then. That of a job without terms, which an earlier release accepted, is written with its next
+// start.
+func (s *Scheduler) setTerms(j *job, configuration *catalogue.Catalogue) {
+	former := j.terms
+	j.terms = former.Under(configuration)
+	if j.terms.SameSettings(former) {
+		return
+	}
+	if former.Version > 0 {
+		s.dirty[j.ID] = j
 	}
+	s.log("terms changed", Fields{
+		"job": j.ID, "queue": j.Queue, "version": j.terms.Version, "service": j.terms.Service, "maxAttempts": j.terms.MaxAttempts, "priority": j.terms.Priority,
+		"formerVersion": former.Version, "formerService": former.Service, "formerMaxAttempts": former.MaxAttempts, "formerPriority": former.Priority,
+	})
 }
 
 // Submit adds an accepted job. A job that is known already is not changed.
 func (s *Scheduler) Submit(now time.Time, submitted *workload.Job) {
 	s.initialise()
-	if s.jobs[submitted.ID] != nil {
-		return
-	}
-	j := &job{Job: submitted, phase: wire.JobPhase_JOB_PHASE_QUEUED, estimate: s.estimateFor(submitted.Queue)}
-	if s.catalogue != nil {
-		if queue, ok := s.catalogue.Queue(submitted.Queue); ok {
-			j.queue = *queue
-		}
+	if s.jobs[submitted.ID] == nil {
+		s.setTerms(s.add(now, submitted, submitted.AcceptedTerms), s.catalogue)
 	}
+}
+
+// add adds a job under terms that were in force before.
+func (s *Scheduler) add(now time.Time, submitted *workload.Job, former terms.Terms) *job {
+	former.Queue = submitted.Queue
+	j := &job{Job: submitted, terms: former, phase: wire.JobPhase_JOB_PHASE_QUEUED, estimate: s.estimateFor(submitted.Queue)}
 	for number := range submitted.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, number))
 	}
 	s.jobs[j.ID], s.open[j.ID] = j, j
 	s.assess(j)
-	s.log("job known", Fields{"job": j.ID, "queue": j.Queue, "organisation": j.Organisation, "age": now.Sub(j.Accepted), "steps": j.stepDescriptions()})
+	s.log("job known", Fields{
+		"job": j.ID, "queue": j.Queue, "organisation": j.Organisation, "age": now.Sub(j.Accepted), "steps": j.stepDescriptions(),
+		"version": former.Version, "service": former.Service, "maxAttempts": former.MaxAttempts,
+	})
+	return j
 }
 
 // Cancel ends a job at its caller's request.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -27,6 +28,8 @@
 	Queue        string
 	Organisation string
 	Accepted     time.Time
+	// AcceptedTerms are those of the queue when the job was accepted.
+	AcceptedTerms terms.Terms
 	// Payload is sent to the target with each start of a task.
 	Payload string
 	Steps   []Step
@@ -150,6 +153,9 @@
 	if !j.FirstDue.IsZero() {
 		record.FirstDue = timestamppb.New(j.FirstDue)
 	}
+	if j.AcceptedTerms.Version > 0 {
+		record.Terms = j.AcceptedTerms.Record()
+	}
 	for _, step := range j.Steps {
 		record.Steps = append(record.Steps, step.record())
 	}
@@ -175,6 +181,7 @@
 	j := &Job{
 		ID: record.GetId(), Queue: record.GetQueue(), Organisation: record.GetOrganisation(), Accepted: record.GetAccepted().AsTime(),
 		Payload: record.GetPayload(), RepeatCount: int(record.GetRepeatCount()), Interval: record.GetInterval().AsDuration(),
+		AcceptedTerms: terms.FromRecord(record.GetTerms()),
 	}
 	if record.GetFirstDue() != nil {
 		j.FirstDue = record.GetFirstDue().AsTime()
