A cancelling binds also when the store does not have the job yet

The store had carried the submission's unanswered write out late.

Cause: the answer rested on a read, which says nothing of writes under way, and left nothing that such a write would meet.

Change: Cancel writes its mark whether or not there is a submission, and then answers as before. The planner keeps such a cancellation and ends the job as soon as it appears. A GET of an ID with a mark alone is answered 410. Marks of jobs that never appear are removed after the retention period, 30 s at least; one that can't be removed doesn't hold up the others.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -59,7 +59,8 @@
 	stepKinds = 14
 	// variantStep is the first step that performs the harder variant of its kind.
 	variantStep = 10 * stepKinds
-	// setBackStep is the first step in which a restarted target's time of day is set back.
+	// setBackStep is the first step in which a restarted target's time of day is set back, and in which
+	// a caller leaves and cancels.
 	setBackStep = 16 * stepKinds
 	// firstBorn leaves space for incarnations that begin before the first ones.
 	firstBorn = 1 << 20
@@ -341,6 +342,25 @@
 	}
 }
 
+// submitAndLeave submits a job whose caller leaves before it has an answer and cancels the job. The
+// store carries the submission out late.
+func (d *deployment) submitAndLeave() {
+	d.submitted++
+	job := &workload.Job{ID: fmt.Sprintf("%016x", d.submitted), Payload: "left", Steps: []workload.Step{{
+		Count: 1, Estimate: time.Second, Needs: workload.Resources{MilliCores: 1000, MemoryMB: 100},
+	}}}
+	d.fleet.ExpectJob(job)
+	d.store.LoseAnswers(1, 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if err := d.intake.Submit(ctx, intake.Call{Queue: "q2", Organisation: "o", ID: job.ID}, job); err != nil {
+		d.t.Logf("a caller leaves before it has an answer: %v", err)
+	}
+	if err := d.intake.Cancel(context.Background(), intake.Call{ID: job.ID}); err == nil || errkind.Gone.Is(err) {
+		d.fleet.JobCancelled(job.ID)
+	}
+}
+
 func (d *deployment) cancel() {
 	for _, id := range d.acceptedIDs() {
 		if d.cancelled[id] || d.random.IntN(4) != 0 {
@@ -404,11 +424,14 @@
 			d.fleet.DelayRenewals(targetID(targetIndex), count)
 		}
 	case 12:
-		if step >= variantStep {
+		switch {
+		case step >= setBackStep:
+			d.submitAndLeave()
+		case step >= variantStep:
 			d.toggleQueue()
-			break
+		default:
+			d.store.Compact()
 		}
-		d.store.Compact()
 	case 13:
 		if step >= variantStep {
 			d.toggleEntry(targetIndex)
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -94,8 +94,8 @@
 	return progress, unreadable
 }
 
-// processJobs processes submissions and then cancellations, because a list in the order of the
-// keys has a job's cancellation before its submission. The session's lock must be held.
+// processJobs processes submissions and then cancellations. What is older than the removal of a job's
+// records is ignored. The session's lock must be held.
 func (s *session) processJobs(items []keyvalue.Item, progress map[string]*wire.ProgressRecord) {
 	for _, item := range items {
 		if id, cancelled, ok := records.ParseJobKey(item.Key); ok && !cancelled && !item.Deleted {
@@ -103,7 +103,7 @@
 		}
 	}
 	for _, item := range items {
-		if id, cancelled, ok := records.ParseJobKey(item.Key); ok && cancelled && !item.Deleted {
+		if id, cancelled, ok := records.ParseJobKey(item.Key); ok && cancelled && !item.Deleted && item.Revision > s.removals[id] {
 			s.plan.Cancel(time.Now(), id)
 		}
 	}
@@ -222,27 +222,42 @@
 	return nil
 }
 
-// expire removes the records of jobs that ended longer ago than the retention period. A removal
-// that the store carries out after the term would take progress from a successor that is reading
-// it, and the job would look new.
+// expire removes the records of jobs that ended longer ago than the retention period, and
+// cancellations of jobs that were never submitted.
 func (s *session) expire(ctx context.Context) error {
 	for sleep(ctx, expiryPeriod) {
 		s.mu.Lock()
-		expired := s.plan.Expired(time.Now())
+		expired, cancellations := s.plan.Expired(time.Now()), s.plan.ExpiredCancellations(time.Now())
 		s.mu.Unlock()
 		for _, id := range expired {
-			keys := []string{records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id)}
-			result, err := s.Store.Commit(ctx, keyvalue.Txn{Expect: []keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}}, Deletes: keys})
-			if err != nil || !result.Applied {
-				s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
+			if err := s.remove(ctx, id, nil, []string{records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id)}); err != nil {
+				break
+			}
+		}
+		for _, id := range cancellations {
+			if err := s.remove(ctx, id, []keyvalue.Expectation{{Key: records.SubmittedKey(id)}}, []string{records.CancelledKey(id)}); err != nil {
 				break
 			}
-			s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
-			s.mu.Lock()
-			s.removals[id] = result.Revision
-			s.plan.Forget(id)
-			s.mu.Unlock()
 		}
 	}
 	return ctx.Err()
 }
+
+// remove removes a job's records if the expectations hold; otherwise they are looked at again in the
+// next period. A removal that the store carries out after the term would take progress from a
+// successor that is reading it, and the job would look new, so it is conditional on the term too. The
+// error is that of the store.
+func (s *session) remove(ctx context.Context, id string, expect []keyvalue.Expectation, keys []string) error {
+	expect = append([]keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}}, expect...)
+	result, err := s.Store.Commit(ctx, keyvalue.Txn{Expect: expect, Deletes: keys})
+	if err != nil || !result.Applied {
+		s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
+		return err
+	}
+	s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removals[id] = result.Revision
+	s.plan.Forget(id)
+	return nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -167,8 +167,9 @@
 	}
 }
 
-// Cancel writes the cancellation of a job to the store. The error is Gone for an unknown
-// job, Unavailable if the cancellation was not written, and Ambiguous if it may have been.
+// Cancel writes the cancellation of a job to the store, also if the store does not have the job: its
+// submission may be carried out after the answer. The error is Gone for an unknown job, which then
+// never runs, Unavailable if the cancellation was not written, and Ambiguous if it may have been.
 func (i *Intake) Cancel(ctx context.Context, call Call) error {
 	ctx, cancel := i.bound(ctx, call)
 	defer cancel()
@@ -177,13 +178,13 @@
 	if err != nil {
 		return i.reject(call, err)
 	}
-	if item == nil {
-		return i.reject(call, errkind.Gone.New("submit the job first", "Intake.Cancel: the store has no job %s", call.ID))
-	}
 	known, err := i.create(ctx, records.CancelledKey(call.ID), []byte{1})
 	if err != nil {
 		return i.reject(call, err)
 	}
+	if item == nil {
+		return i.reject(call, errkind.Gone.New("submit the job under another ID", "Intake.Cancel: the store has no job %s; if its submission is carried out late, the job will be cancelled", call.ID))
+	}
 	i.logAnswer(call, "job cancelled", start, log.Fields{"known": known})
 	return nil
 }
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -41,7 +41,8 @@
 }
 
 // progress reads the phase of a job: from its progress record or, before there is one, from its
-// submission and cancellation. The error is Gone if the store has neither.
+// submission and cancellation. The error is Gone if the store has neither a progress record nor a
+// submission.
 func (i *Intake) progress(ctx context.Context, id string) (progress, error) {
 	items, revision, err := i.Store.List(ctx, records.ProgressKey(id))
 	if err != nil {
@@ -54,20 +55,18 @@
 	if err != nil {
 		return progress{}, err
 	}
-	current := progress{revision: revision}
+	submitted, cancelled := false, false
 	for _, item := range items {
-		switch item.Key {
-		case records.CancelledKey(id):
-			current.phase = wire.JobPhase_JOB_PHASE_CANCELLED
-			return current, nil
-		case records.SubmittedKey(id):
-			current.phase = wire.JobPhase_JOB_PHASE_QUEUED
-		}
+		submitted = submitted || item.Key == records.SubmittedKey(id)
+		cancelled = cancelled || item.Key == records.CancelledKey(id)
 	}
-	if current.phase == wire.JobPhase_JOB_PHASE_UNSPECIFIED {
-		return current, errkind.Gone.New("submit the job first", "Intake.progress: the store has no job %s", id)
+	switch {
+	case !submitted:
+		return progress{}, errkind.Gone.New("submit the job first", "Intake.progress: the store has no job %s", id)
+	case cancelled:
+		return progress{wire.JobPhase_JOB_PHASE_CANCELLED, revision}, nil
 	}
-	return current, nil
+	return progress{wire.JobPhase_JOB_PHASE_QUEUED, revision}, nil
 }
 
 // phaseOf returns the phase from a job's progress record. The second result is false if there
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -71,6 +71,7 @@
 			s.restoreUnit(now, u, record)
 		}
 	}
+	s.applyEarlyCancellation(now, j.ID)
 }
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -15,6 +15,9 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
+// lateWriteTime is longer than the store takes to carry out a write that it has not answered.
+const lateWriteTime = 30 * time.Second
+
 // Scheduler holds the planner's whole state. Set the exported fields before the first event.
 // It is not safe for concurrent use.
 type Scheduler struct {
@@ -31,6 +34,9 @@
 	// open holds the jobs that have not ended, and ordered the targets by ID.
 	open    map[string]*job
 	ordered []*node
+	// earlyCancellations holds, by job, when the cancellation of a job was learned of that is not
+	// known. The store may carry its submission out later.
+	earlyCancellations map[string]time.Time
 	// dirty holds the jobs whose progress has changed since the last step.
 	dirty map[string]*job
 	// allDone holds the open jobs that may have no units left, to be looked at in the next step.
@@ -113,6 +119,7 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
+		s.earlyCancellations = map[string]time.Time{}
 	}
 }
 
@@ -155,6 +162,7 @@
 	s.initialise()
 	if s.jobs[submitted.ID] == nil {
 		s.setTerms(s.add(now, submitted, submitted.AcceptedTerms), s.catalogue)
+		s.applyEarlyCancellation(now, submitted.ID)
 	}
 }
 
@@ -174,14 +182,40 @@
 	return j
 }
 
-// Cancel ends a job at its caller's request.
+// Cancel ends a job at its caller's request. One that is not known yet ends as soon as it is.
 func (s *Scheduler) Cancel(now time.Time, id string) {
 	s.initialise()
 	j := s.jobs[id]
-	if j == nil || ended(j.phase) {
+	if j == nil {
+		if _, ok := s.earlyCancellations[id]; !ok {
+			s.earlyCancellations[id] = now
+			s.log("cancellation kept", Fields{"job": id, "reason": "the job is not known; its submission may be carried out late"})
+		}
 		return
 	}
-	s.endJob(now, j, wire.JobPhase_JOB_PHASE_CANCELLED, "its caller cancelled it")
+	if !ended(j.phase) {
+		s.endJob(now, j, wire.JobPhase_JOB_PHASE_CANCELLED, "its caller cancelled it")
+	}
+}
+
+// applyEarlyCancellation ends a job that has just become known if it was cancelled before.
+func (s *Scheduler) applyEarlyCancellation(now time.Time, id string) {
+	if _, ok := s.earlyCancellations[id]; ok {
+		delete(s.earlyCancellations, id)
+		s.Cancel(now, id)
+	}
+}
+
+// ExpiredCancellations returns the jobs whose cancellation was learned of longer ago than the
+// retention period, and lateWriteTime, and that have not become known.
+func (s *Scheduler) ExpiredCancellations(now time.Time) []string {
+	var out []string
+	for id, since := range s.earlyCancellations {
+		if now.Sub(since) >= max(s.Limits.Retention, lateWriteTime) {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // HasJob reports whether the scheduler holds the job.
@@ -272,8 +306,10 @@
 	return out
 }
 
-// Forget removes a job whose records have been deleted from the store.
+// Forget removes a job, or the cancellation of an unknown one, whose records have been deleted from
+// the store.
 func (s *Scheduler) Forget(id string) {
 	delete(s.jobs, id)
 	delete(s.open, id)
+	delete(s.earlyCancellations, id)
 }
