Cancelling a gang job without a record keeps it from running

Change: cancelling writes a record of state unknown where there is none; the submission is conditional on the key's absence and then does nothing. Not "cancelled before it started": the job may have ended and its record been removed long ago, and a "not run" must be true. Only tickets that hosts can have issued, in a zone whose planner removes ended records, leave a record. A job's record is encoded and written in one place; one that can't be encoded is refused as such.

Evidence: TestJobCancelledBeforeItsRecordIsWrittenDoesNotRun failed before (pending after the late write) and passes; TestCancellingAForeignTicketLeavesNoMark bounds what is written.

--- a/internal/host/locate.go
+++ b/internal/host/locate.go
@@ -27,7 +27,7 @@
 // waits up to wait, at most 25 s, for its end. It never starts work.
 func (h *Host) locate(ctx context.Context, ticket string, wait time.Duration) *wire.WorkResponse {
 	wait = min(max(wait, 0), maxWait)
-	if strings.Contains(ticket, ":") {
+	if strings.Contains(ticket, zoneSeparator) {
 		return h.locateJob(ctx, ticket, wait)
 	}
 	if answer, ok := h.findLocal(ctx, ticket, wait); ok {
@@ -116,7 +116,7 @@
 // known. A request with a key is never dispatched without a durable intent. A request that an
 // adopted journal does not name was therefore not run.
 func (h *Host) locateOutcome(ctx context.Context, ticket string) outcome.Outcome {
-	if strings.Contains(ticket, ":") {
+	if strings.Contains(ticket, zoneSeparator) {
 		return nil
 	}
 	owner := dispatcher.IssuingIncarnation(ticket)
--- a/internal/host/work.go
+++ b/internal/host/work.go
@@ -26,6 +26,10 @@
 	maxKeyBytes    = 256
 	acceptTimeout  = 3 * time.Second
 	cancelTimeout  = 3 * time.Second
+	// A gang job's ticket is its zone, zoneSeparator and jobIDLength characters of jobIDAlphabet.
+	zoneSeparator = ":"
+	jobIDLength   = 16
+	jobIDAlphabet = "abcdefghijklmnopqrstuvwxyz234567"
 )
 
 // serve handles a caller's request of any kind. The response states how long that took.
@@ -108,14 +112,14 @@
 // submitJob writes a gang job's record to the store. The job is then accepted, and the planner
 // of its zone places it.
 func (h *Host) submitJob(ctx context.Context, req *wire.WorkRequest) *wire.WorkResponse {
-	if strings.Contains(req.GetTicket(), ":") {
+	if strings.Contains(req.GetTicket(), zoneSeparator) {
 		return h.locate(ctx, req.GetTicket(), req.GetWait().AsDuration())
 	}
 	zone, err := h.chooseZone(req)
 	if err != nil {
 		return dispatcher.Response("", outcome.NotRun{Reason: errkind.Message(err), Remedy: errkind.Remedy(err)})
 	}
-	id := zone + ":" + strings.ToLower(rand.Text()[:16])
+	id := zone + zoneSeparator + strings.ToLower(rand.Text()[:jobIDLength])
 	if req.GetKey() != "" {
 		holder, claimed, refused := h.dispatcher.ClaimKey(ctx, id, req)
 		if refused != nil {
@@ -142,18 +146,16 @@
 }
 
 func (h *Host) writeJob(ctx context.Context, record *wire.JobRecord) outcome.Outcome {
-	value, err := proto.Marshal(record)
-	if err != nil {
-		return outcome.NotRun{Reason: err.Error(), Remedy: "report this as a defect"}
-	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	_, err = h.store.Put(ctx, store.Serving, &wire.PutRequest{Key: planner.JobKey(record.GetId()), Value: value})
+	_, err := h.putJob(ctx, record, 0)
 	switch {
 	case err == nil:
 		return nil
 	case errkind.Ambiguous.Is(err):
 		return outcome.Unknown{Reason: "the platform's store did not confirm the write; poll the ticket to learn whether the job was accepted"}
+	case errkind.Invalid.Is(err):
+		return outcome.NotRun{Reason: errkind.Message(err), Remedy: errkind.Remedy(err)}
 	}
 	return outcome.NotRun{Reason: "the platform's store accepts no writes", Remedy: "try again later", RetryAfter: time.Second}
 }
@@ -202,7 +204,7 @@
 // cancel ends a job that has not ended, or a request that has not been dispatched. Errors:
 // Conflict for a request that this host cannot cancel, and those of cancelJob.
 func (h *Host) cancel(ctx context.Context, ticket string) (*wire.WorkResponse, error) {
-	if strings.Contains(ticket, ":") {
+	if strings.Contains(ticket, zoneSeparator) {
 		return h.cancelJob(ctx, ticket)
 	}
 	if h.dispatcher.Cancel(ticket) {
@@ -212,7 +214,8 @@
 }
 
 // cancelJob ends a waiting job with one write. A job that is being started or runs is flagged,
-// and its planner stops it. Errors: NotFound if there is no such job, and those of the store.
+// and its planner stops it. Errors: NotFound if there is no such job, which then never runs, and
+// those of the store.
 func (h *Host) cancelJob(ctx context.Context, id string) (*wire.WorkResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
@@ -221,9 +224,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if found.GetRevision() == 0 {
+			if appeared, err := h.cancelUnrecorded(ctx, id); !appeared {
+				return nil, err
+			}
+			continue
+		}
 		record := &wire.JobRecord{}
-		if found.GetRevision() == 0 || proto.Unmarshal(found.GetValue(), record) != nil {
-			return nil, errkind.NotFound.New("check the ticket", "Host.cancelJob: there is no readable record of job %s", id)
+		if err := proto.Unmarshal(found.GetValue(), record); err != nil {
+			return nil, errkind.NotFound.New("check the ticket", "Host.cancelJob: the record of job %s is not readable: %v", id, err)
 		}
 		if planner.Ended(record.GetState()) || record.GetCancelled() {
 			return jobResponse(id, found, nil), nil
@@ -232,11 +241,7 @@
 		if record.GetState() == wire.JobState_JOB_STATE_WAITING {
 			record.State, record.Ended, record.Reason = wire.JobState_JOB_STATE_CANCELLED, timestamppb.Now(), "it was cancelled before it started"
 		}
-		value, err := proto.Marshal(record)
-		if err != nil {
-			return nil, err
-		}
-		result, err := h.store.Put(ctx, store.Serving, &wire.PutRequest{Key: planner.JobKey(id), Value: value, ExpectedRevision: found.GetRevision()})
+		result, err := h.putJob(ctx, record, found.GetRevision())
 		if err != nil {
 			return nil, err
 		}
@@ -245,3 +250,39 @@
 		}
 	}
 }
+
+// cancelUnrecorded writes a record for a job that has none, because its submission may be carried
+// out late and must then have no effect. It reports whether a record has appeared meanwhile; if not,
+// the error is NotFound or that of the store.
+func (h *Host) cancelUnrecorded(ctx context.Context, id string) (appeared bool, err error) {
+	if !h.mayHaveIssued(id) {
+		return false, errkind.NotFound.New("check the ticket", "Host.cancelUnrecorded: no host has issued the ticket %s", id)
+	}
+	zone, _, _ := strings.Cut(id, zoneSeparator)
+	result, err := h.putJob(ctx, &wire.JobRecord{
+		Id: id, Zone: zone, State: wire.JobState_JOB_STATE_UNKNOWN, Cancelled: true, Ended: timestamppb.Now(),
+		Reason: "it was cancelled when the store had no record of it: it ended long ago, or it never runs",
+	}, 0)
+	if err != nil || !result.Applied {
+		return err == nil, err
+	}
+	h.log.WithField("job", id).Info("host: a job without a record was cancelled; a late submission of it has no effect")
+	return false, errkind.NotFound.New("check the ticket", "Host.cancelUnrecorded: there is no record of job %s; it will not run", id)
+}
+
+// putJob writes a job's record if that has the expected revision in the store; 0 for none.
+func (h *Host) putJob(ctx context.Context, record *wire.JobRecord, revision int64) (store.Result, error) {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return store.Result{}, errkind.Invalid.New("report this as a defect", "Host.putJob: the record of job %s cannot be encoded: %v", record.GetId(), err)
+	}
+	return h.store.Put(ctx, store.Serving, &wire.PutRequest{Key: planner.JobKey(record.GetId()), Value: value, ExpectedRevision: revision})
+}
+
+// mayHaveIssued reports whether a ticket has the form of those that hosts issue for gang jobs, in a
+// zone whose planner removes the records of ended jobs.
+func (h *Host) mayHaveIssued(id string) bool {
+	zone, rest, _ := strings.Cut(id, zoneSeparator)
+	_, declared := h.configuration.Current().Zones[zone]
+	return (declared || zone == h.Settings.GetZone()) && len(rest) == jobIDLength && strings.Trim(rest, jobIDAlphabet) == ""
+}
