The removal of an ended job's records leaves a later job of its ID alone

Seen by callers (by the tests): a job that was accepted under the ID of an ended one is gone, and a GET is answered 410. The store had left the removal of the ended job's records unanswered, and carried it out late, or it was repeated after the new submission.

Change: a removal is conditional on the revision of the submission that it is meant for. If that has changed, the earlier removal was carried out: the ended job is forgotten, and a new submission under the ID is scheduled. Removals have a file of their own.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -89,6 +89,8 @@
 	// removals holds, by job, the revision in which its records were removed, until the watch of
 	// jobs has reached it. What the store returns from before that revision is out of date.
 	removals map[string]int64
+	// submissions holds, by job, the revision of its submission.
+	submissions map[string]int64
 
 	// unreadable holds the keys of the progress records that cannot be decoded. What their jobs have
 	// run is not known, so these must not start.
@@ -115,7 +117,7 @@
 	defer cancel(nil)
 	s := &session{
 		Coordinator: c, currentTerm: currentTerm, context: ctx, cancel: cancel, agents: map[string]*agent{}, stepSignal: make(chan struct{}, 1),
-		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{},
+		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{}, submissions: map[string]int64{},
 	}
 	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
 	err := s.lead(ctx)
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -72,6 +72,9 @@
 	cut atomic.Bool
 	// removals receives the transactions that delete keys; nil drops them.
 	removals chan<- keyvalue.Txn
+	// lostRemovals is how many of the next transactions that delete keys are carried out without an
+	// answer.
+	lostRemovals atomic.Int64
 	// listDelay is how long, in nanoseconds, the answer to a list is under way.
 	listDelay atomic.Int64
 	// silentWatches is how many of the next watches on jobs go silent, until their time limit.
@@ -93,6 +96,9 @@
 		l.removals <- txn
 	}
 	result, err := l.Service.Commit(ctx, txn)
+	if len(txn.Deletes) > 0 && l.lostRemovals.Add(-1) >= 0 {
+		return keyvalue.TxnResult{}, errCut
+	}
 	if delay := time.Duration(l.commitDelay.Load()); delay > 0 && len(txn.Puts) > 10 {
 		sleep(ctx, delay)
 		l.commits.Add(1)
--- /dev/null
+++ b/internal/coordinator/removal.go
@@ -0,0 +1,100 @@
+package coordinator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
+	"github.com/eelgrasstide/eelgrasstide/internal/term"
+)
+
+// expire removes the records of jobs that ended longer ago than the retention period, and
+// cancellations of jobs that were never submitted.
+func (s *session) expire(ctx context.Context) error {
+	for sleep(ctx, expiryPeriod) {
+		s.mu.Lock()
+		expired, cancellations := s.plan.Expired(time.Now()), s.plan.ExpiredCancellations(time.Now())
+		s.mu.Unlock()
+		for _, id := range expired {
+			if err := s.removeJob(ctx, id); err != nil {
+				break
+			}
+		}
+		for _, id := range cancellations {
+			if err := s.removeCancellation(ctx, id); err != nil {
+				break
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// removeJob removes the records of an ended job. They are no longer this job's if the submission has
+// another revision: an earlier removal got no answer and was carried out, and the ID may have been
+// used again since. The error is that of the store.
+func (s *session) removeJob(ctx context.Context, id string) error {
+	s.mu.Lock()
+	submitted := s.submissions[id]
+	s.mu.Unlock()
+	result, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id), Revision: submitted},
+		records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id))
+	if err != nil || result.Applied || !s.holdsTerm(result.Current) {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forget(id, submitted)
+	for _, item := range result.Current {
+		if item.Key == records.SubmittedKey(id) {
+			s.Log.WithFields(log.Fields{"job": id, "revision": item.Revision, "former": submitted}).Info("coordinator: an expired job's ID has been used again")
+			s.processSubmission(id, item, nil)
+		}
+	}
+	s.requestStep()
+	return nil
+}
+
+// removeCancellation removes the cancellation of a job that was never submitted. The error is that
+// of the store.
+func (s *session) removeCancellation(ctx context.Context, id string) error {
+	_, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id)}, records.CancelledKey(id))
+	return err
+}
+
+// remove removes records of a job if its submission is as expected; otherwise they are looked at
+// again in the next period. A removal that the store carries out after the term would take progress
+// from a successor that is reading it, and the job would look new, so it is conditional on the term
+// too. The error is that of the store.
+func (s *session) remove(ctx context.Context, id string, submission keyvalue.Expectation, keys ...string) (keyvalue.TxnResult, error) {
+	result, err := s.Store.Commit(ctx, keyvalue.Txn{
+		Expect: []keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}, submission}, Deletes: keys,
+	})
+	if err != nil || !result.Applied {
+		s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
+		return result, err
+	}
+	s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forget(id, result.Revision)
+	return result, nil
+}
+
+// forget drops a job whose records up to a revision of the store are removed. The session's lock must
+// be held.
+func (s *session) forget(id string, revision int64) {
+	s.removals[id] = revision
+	delete(s.submissions, id)
+	s.plan.Forget(id)
+}
+
+// holdsTerm reports whether the term's record is among items, as this term wrote it.
+func (s *session) holdsTerm(items []keyvalue.Item) bool {
+	return slices.ContainsFunc(items, func(item keyvalue.Item) bool {
+		return item.Key == term.RecordKey && item.Revision == s.currentTerm.Revision
+	})
+}
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -9,7 +9,6 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
-	"github.com/eelgrasstide/eelgrasstide/internal/term"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -124,6 +123,7 @@
 		s.Log.WithFields(log.Fields{"key": item.Key, "job": job.ID, "cause": err}).Error("coordinator: a submission's record describes no valid job; it is ignored")
 		return
 	}
+	s.submissions[id] = item.Revision
 	s.plan.Restore(time.Now(), job, progress[records.ProgressKey(id)])
 }
 
@@ -221,43 +221,3 @@
 	}
 	return nil
 }
-
-// expire removes the records of jobs that ended longer ago than the retention period, and
-// cancellations of jobs that were never submitted.
-func (s *session) expire(ctx context.Context) error {
-	for sleep(ctx, expiryPeriod) {
-		s.mu.Lock()
-		expired, cancellations := s.plan.Expired(time.Now()), s.plan.ExpiredCancellations(time.Now())
-		s.mu.Unlock()
-		for _, id := range expired {
-			if err := s.remove(ctx, id, nil, []string{records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id)}); err != nil {
-				break
-			}
-		}
-		for _, id := range cancellations {
-			if err := s.remove(ctx, id, []keyvalue.Expectation{{Key: records.SubmittedKey(id)}}, []string{records.CancelledKey(id)}); err != nil {
-				break
-			}
-		}
-	}
-	return ctx.Err()
-}
-
-// remove removes a job's records if the expectations hold; otherwise they are looked at again in the
-// next period. A removal that the store carries out after the term would take progress from a
-// successor that is reading it, and the job would look new, so it is conditional on the term too. The
-// error is that of the store.
-func (s *session) remove(ctx context.Context, id string, expect []keyvalue.Expectation, keys []string) error {
-	expect = append([]keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}}, expect...)
-	result, err := s.Store.Commit(ctx, keyvalue.Txn{Expect: expect, Deletes: keys})
-	if err != nil || !result.Applied {
-		s.Log.WithField("job", id).WithField("cause", err).Info("coordinator: an expired job's records could not be removed; the removal is retried")
-		return err
-	}
-	s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.removals[id] = result.Revision
-	s.plan.Forget(id)
-	return nil
-}
