--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -260,10 +260,15 @@
 }
 
 // acceptanceNotDurable queues the request without a durable acceptance if its class allows that,
-// and otherwise ends it.
+// and otherwise ends it. A host that adopts the journal runs a request whose acceptance it finds, so
+// one whose acceptance may be durable is left to it.
 func (d *Dispatcher) acceptanceNotDurable(w *work, err error) outcome.Outcome {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if errkind.Ambiguous.Is(err) {
+		d.finish(w, outcome.Unknown{Reason: "this host ended before the platform's store confirmed the acceptance; another host may run the request"})
+		return w.out
+	}
 	if out := d.withoutStore(w, err); out != nil {
 		d.finish(w, out)
 		return w.out
--- a/internal/dispatcher/dispatcher_prop_test.go
+++ b/internal/dispatcher/dispatcher_prop_test.go
@@ -193,7 +193,7 @@
 	host *testHost
 }
 
-func (s *faultyStore) injectFault() error {
+func (s *faultyStore) injectFault(ctx context.Context) error {
 	s.host.waitWhileFrozen()
 	switch s.host.currentStoreFault() {
 	case "down":
@@ -201,12 +201,15 @@
 	case "silent":
 		time.Sleep(3 * time.Second)
 		return twirp.NewError(twirp.DeadlineExceeded, "silent")
+	case "unanswered":
+		<-ctx.Done()
+		return twirp.NewError(twirp.DeadlineExceeded, "unanswered")
 	}
 	return nil
 }
 
 func (s *faultyStore) Put(ctx context.Context, req *wire.PutRequest) (*wire.PutResponse, error) {
-	if err := s.injectFault(); err != nil {
+	if err := s.injectFault(ctx); err != nil {
 		return nil, err
 	}
 	answer, err := s.Store.Put(ctx, req)
@@ -218,7 +221,7 @@
 }
 
 func (s *faultyStore) List(ctx context.Context, req *wire.ListRequest) (*wire.ListResponse, error) {
-	if err := s.injectFault(); err != nil {
+	if err := s.injectFault(ctx); err != nil {
 		return nil, err
 	}
 	return s.Store.List(ctx, req)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -166,7 +166,7 @@
 
 // commit writes one segment. While the outcome of the write is unknown, it writes the same
 // segment again: a later batch must not be written before the outcome is known, as it could take
-// the same position.
+// the same position. The error is Ambiguous if ctx ends before that.
 func (j *Journal) commit(ctx context.Context, batch []*queuedRecord) error {
 	if j.Fenced() {
 		return fencedError(j.Incarnation)
@@ -182,13 +182,16 @@
 	put := &wire.PutRequest{Key: j.key(j.next), Value: value}
 	for ambiguous := false; ; {
 		err := j.write(ctx, put, segment)
-		if err == nil || errkind.Fenced.Is(err) || ctx.Err() != nil {
+		if err == nil || errkind.Fenced.Is(err) {
 			return err
 		}
 		ambiguous = ambiguous || !errkind.Unavailable.Is(err)
 		if !ambiguous {
 			return err
 		}
+		if ctx.Err() != nil {
+			return errkind.Ambiguous.New("read the journal to learn whether the records are durable", "Journal.commit: the journal ended while a write had no answer: %v", err)
+		}
 		j.setStalled(true)
 	}
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/journal"
 	"github.com/eelgrasstide/eelgrasstide/internal/standin/keyvalue"
@@ -105,3 +108,35 @@
 	time.Sleep(5 * time.Millisecond)
 	return s.Store.Put(ctx, req)
 }
+
+// lostThenRefused leaves the first write unanswered and refuses all later ones.
+type lostThenRefused struct {
+	wire.Store
+	writes int
+}
+
+func (s *lostThenRefused) Put(context.Context, *wire.PutRequest) (*wire.PutResponse, error) {
+	s.writes++
+	if s.writes == 1 {
+		return nil, errors.New("lostThenRefused.Put: the answer is lost")
+	}
+	return nil, twirp.NewError(twirp.Unavailable, "the store is down").WithMeta("effect", "none")
+}
+
+// Guards against requests that run after their caller heard that they did not: a record whose first
+// write got no answer may still become durable when the journal ends, though the last write did not.
+func TestRecordWithAnUnansweredWriteStaysAmbiguousAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := &journal.Journal{Store: &store.Store{Backend: &lostThenRefused{}}, Incarnation: "a", Writer: "a"}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- j.Run(ctx, 0) }()
+		durable := j.Enqueue(record("a.1", wire.RecordKind_RECORD_KIND_ACCEPTED))
+		time.Sleep(time.Minute)
+		cancel()
+		<-ended
+		if err := <-durable; !errkind.Ambiguous.Is(err) {
+			t.Errorf("\nhave: %v\nwant: an error of kind ambiguous", err)
+		}
+	})
+}
