An adopted request keeps the class that it was accepted under

Change: the acceptance's record carries the class. An adopting host uses the one in force if it has the same idempotence, and otherwise the recorded one.

Evidence: TestAdoptedRequestOfARemovedClassIsTriedAgain failed before (0 runs) and passes.

--- a/internal/dispatcher/acceptance_test.go
+++ b/internal/dispatcher/acceptance_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/journal"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/pkg/outcome"
 )
 
@@ -32,3 +34,44 @@
 		}
 	})
 }
+
+// Guards against accepted requests that are given up: a host that adopts a request after its class
+// was removed tries it as often as the class allowed when it was accepted.
+func TestAdoptedRequestOfARemovedClassIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		defer c.close()
+		setFaults := func(fault string) {
+			for i := range runnerCount {
+				runnerFault(i, fault).run(c)
+			}
+		}
+		setFaults("busy")
+		submit(0, 4).run(c)
+		// The host dies after the intent of an attempt that no runner accepts.
+		last := wire.RecordKind_RECORD_KIND_UNSPECIFIED
+		for range 10000 {
+			requests, _, err := journal.Load(t.Context(), c.hosts[1].store, c.hosts[0].name)
+			if err != nil || len(requests) != 1 {
+				t.Fatalf("journal.Load: have %v (%v), want one request", requests, err)
+			}
+			if last = requests[0].Last.GetKind(); last == wire.RecordKind_RECORD_KIND_INTENT {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		c.kill(c.hosts[0])
+		if last != wire.RecordKind_RECORD_KIND_INTENT {
+			t.Fatalf("the journal's last record: have %s, want an intent", last)
+		}
+		without := *c.rules
+		without.Classes = map[string]*wire.Class{}
+		c.rules = &without
+		setFaults("")
+		c.adopt(c.hosts[1], c.hosts[0])
+		time.Sleep(10 * time.Second)
+		if runs := c.runs(c.sent[0]); runs != 1 {
+			t.Errorf("\nhave: %d runs\nwant: 1", runs)
+		}
+	})
+}
--- a/internal/dispatcher/lookup.go
+++ b/internal/dispatcher/lookup.go
@@ -118,21 +118,14 @@
 	d.dispatchQueued()
 }
 
-// restore registers a request from a journal, or returns nil if its ticket is known already. If
-// the class is no longer configured, or its idempotence was changed, it uses a class with the
-// recorded idempotence. The lock is held.
+// restore registers a request from a journal, or returns nil if its ticket is known already. The lock
+// is held.
 func (d *Dispatcher) restore(request journal.Request, from *journal.Journal) *work {
 	accepted := request.Accepted
 	if _, ok := d.requests[accepted.GetId()]; ok {
 		return nil
 	}
-	class, ok := d.Rules().Classes[accepted.GetClass()]
-	if !ok {
-		class = &wire.Class{Idempotent: accepted.GetIdempotent()}
-	}
-	if class.GetIdempotent() != accepted.GetIdempotent() {
-		class = &wire.Class{Kind: class.GetKind(), Urgency: class.GetUrgency(), MaxAttempts: class.GetMaxAttempts(), Idempotent: accepted.GetIdempotent()}
-	}
+	class := d.restoredClass(accepted)
 	w := &work{
 		ticket: accepted.GetId(), class: class, journal: from, journalled: true, adopted: true, weight: 1,
 		acceptanceDurable: accepted.GetKind() == wire.RecordKind_RECORD_KIND_ACCEPTED,
@@ -145,6 +138,20 @@
 	return w
 }
 
+// restoredClass returns the class of an accepted request: the one in force, or the one that it was
+// accepted under if that was removed or its idempotence was changed.
+func (d *Dispatcher) restoredClass(accepted *wire.JournalRecord) *wire.Class {
+	class, ok := d.Rules().Classes[accepted.GetClass()]
+	switch {
+	case ok && class.GetIdempotent() == accepted.GetIdempotent():
+		return class
+	case accepted.GetAcceptedClass() != nil:
+		return accepted.GetAcceptedClass()
+	}
+	// The record is of an earlier release.
+	return &wire.Class{Kind: class.GetKind(), Urgency: class.GetUrgency(), MaxAttempts: class.GetMaxAttempts(), Idempotent: accepted.GetIdempotent()}
+}
+
 // resume continues a restored request from its last journal record. The lock is held.
 func (d *Dispatcher) resume(w *work, last *wire.JournalRecord) {
 	if out := RecordedOutcome(last); out != nil {
--- a/internal/dispatcher/work.go
+++ b/internal/dispatcher/work.go
@@ -67,6 +67,7 @@
 func (w *work) acceptance() *wire.JournalRecord {
 	record := w.record(wire.RecordKind_RECORD_KIND_ACCEPTED)
 	record.Payload, record.Deadline, record.Declared = w.req.GetPayload(), timestamppb.New(w.deadline), w.req.GetDeclared()
+	record.AcceptedClass = w.class
 	return record
 }
 
