A lowered limit of attempts holds for tasks that have used it up

Cause: the limit was looked at only when a run fails.

Change: when a job's limit changes, also at a takeover, its tasks that have used it up end the job, those that run when their run has ended otherwise than as done. The units of a job are walked in one place.

Evidence: TestLoweredLimitOfAttemptsEndsTheJob failed before (both cases: start of run 2) and passes.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"iter"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -153,16 +154,27 @@
 	return o
 }
 
-func (j *job) hasRuns() bool {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				if len(u.members) > 0 {
-					return true
+// units returns the units of all occurrences in order.
+func (j *job) units() iter.Seq[*unit] {
+	return func(yield func(*unit) bool) {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				for _, u := range st.units {
+					if !yield(u) {
+						return
+					}
 				}
 			}
 		}
 	}
+}
+
+func (j *job) hasRuns() bool {
+	for u := range j.units() {
+		if len(u.members) > 0 {
+			return true
+		}
+	}
 	return false
 }
 
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -21,13 +21,9 @@
 	if !j.terms.SameSettings(j.AcceptedTerms) {
 		record.Terms = j.terms.Record()
 	}
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				if u.run > 0 {
-					record.Units = append(record.Units, u.record())
-				}
-			}
+	for u := range j.units() {
+		if u.run > 0 {
+			record.Units = append(record.Units, u.record())
 		}
 	}
 	return record
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -178,9 +178,8 @@
 	}
 	u.failureCounted = true
 	u.failures++
-	j := u.step.job
-	if j.terms.MaxAttempts > 0 && u.failures >= j.terms.MaxAttempts && !ended(j.phase) {
-		s.endJob(now, j, failedPhase, "a task failed in all its attempts")
+	if j := u.step.job; u.exhausted() && !ended(j.phase) {
+		s.endJob(now, j, failedPhase, exhaustedReason)
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,9 @@
 	dirty map[string]*job
 	// allDone holds the open jobs that may have no units left, to be looked at in the next step.
 	allDone map[string]*job
+	// limitsChanged holds the jobs whose limit of attempts has changed, until none of their tasks that
+	// have used it up is running.
+	limitsChanged map[string]*job
 	// ends holds the targets of which ended runs were processed since the last step.
 	ends map[string]*node
 	// checkedAt is when the conditions that depend on the time alone were last checked.
@@ -119,7 +122,7 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
-		s.earlyCancellations = map[string]time.Time{}
+		s.earlyCancellations, s.limitsChanged = map[string]time.Time{}, map[string]*job{}
 	}
 }
 
@@ -151,6 +154,9 @@
 	if former.Version > 0 {
 		s.dirty[j.ID] = j
 	}
+	if j.terms.MaxAttempts != former.MaxAttempts {
+		s.limitsChanged[j.ID] = j
+	}
 	s.log("terms changed", Fields{
 		"job": j.ID, "queue": j.Queue, "version": j.terms.Version, "service": j.terms.Service, "maxAttempts": j.terms.MaxAttempts, "priority": j.terms.Priority,
 		"formerVersion": former.Version, "formerService": former.Service, "formerMaxAttempts": former.MaxAttempts, "formerPriority": former.Priority,
@@ -226,12 +232,8 @@
 	j.phase, j.ended = phase, now
 	s.dirty[j.ID] = j
 	delete(s.open, j.ID)
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for _, u := range st.units {
-				s.stopUnit(now, u, reason)
-			}
-		}
+	for u := range j.units() {
+		s.stopUnit(now, u, reason)
 	}
 	s.log("job ended", Fields{"job": j.ID, "phase": phaseName(phase), "reason": reason, "age": now.Sub(j.Accepted), "objective": j.objective})
 }
@@ -311,5 +313,6 @@
 func (s *Scheduler) Forget(id string) {
 	delete(s.jobs, id)
 	delete(s.open, id)
+	delete(s.limitsChanged, id)
 	delete(s.earlyCancellations, id)
 }
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -24,6 +24,7 @@
 		s.wakeAt(s.checkedAt.Add(checkInterval))
 	}
 	s.markDone(now)
+	s.endExhausted(now)
 	s.fit(now)
 	if s.catalogue != nil {
 		s.place(now)
@@ -78,3 +79,32 @@
 	}
 	clear(s.allDone)
 }
+
+// endExhausted ends the jobs of which a task has failed as often as a changed limit allows. A run
+// that is alive may go on: it may yet end as done.
+func (s *Scheduler) endExhausted(now time.Time) {
+	for id, j := range s.limitsChanged {
+		waits := false
+		for u := range j.units() {
+			if !u.exhausted() || ended(j.phase) {
+				continue
+			}
+			if len(u.members) > 0 {
+				waits = true
+				continue
+			}
+			s.endJob(now, j, failedPhase, exhaustedReason)
+		}
+		if !waits || ended(j.phase) {
+			delete(s.limitsChanged, id)
+		}
+	}
+}
+
+const exhaustedReason = "a task failed in all its attempts"
+
+// exhausted reports whether the unit has failed as often as its queue allows.
+func (u *unit) exhausted() bool {
+	limit := u.step.job.terms.MaxAttempts
+	return limit > 0 && u.failures >= limit && !u.done
+}
--- a/internal/scheduler/terms_test.go
+++ b/internal/scheduler/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -49,3 +50,54 @@
 		}
 	}
 }
+
+// Guards against starts beyond the limit of attempts: a limit that a new version of the configuration
+// lowers to what a task has failed already ends the job, also at a planner that learns of both at once.
+func TestLoweredLimitOfAttemptsEndsTheJob(t *testing.T) {
+	queue := catalogue.Queue{Name: "batch", Host: "h", Prefix: "/", Service: "s", MaxAttempts: 3, StretchFactor: 2}
+	lowered := queue
+	lowered.MaxAttempts = 1
+	accepted := &catalogue.Catalogue{Version: 2, Queues: []catalogue.Queue{queue}}
+	newer := &catalogue.Catalogue{Version: 3, Queues: []catalogue.Queue{lowered}}
+	job := &workload.Job{ID: "a", Queue: "batch", AcceptedTerms: terms.Of(2, &queue), Accepted: start, Steps: []workload.Step{smallStep(1)}}
+	failedOnce := &wire.ProgressRecord{Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitRecord{{Run: 1, Failures: 1}}}
+	second := target.Run{Task: target.Task{Job: "a"}, Number: 2}
+
+	for name, learn := range map[string]func(f *fixture){
+		"the planner stays": func(f *fixture) {
+			f.Configure(accepted)
+			f.Restore(f.now, job, failedOnce)
+			f.Configure(newer)
+		},
+		"takeover": func(f *fixture) {
+			f.Configure(newer)
+			f.Restore(f.now, job, failedOnce)
+		},
+	} {
+		f := newFixture(t, 1)
+		learn(f)
+		plan := f.Step(f.now)
+		if len(plan.Starts) > 0 {
+			t.Errorf("%s: have starts %v of a task that has failed as often as its queue allows, want none", name, plan.Starts)
+		}
+		if len(plan.Writes) != 1 || plan.Writes[0].Record.GetPhase() != wire.JobPhase_JOB_PHASE_FAILED {
+			t.Errorf("%s: have writes %v, want the job failed", name, plan.Writes)
+		}
+	}
+
+	f := newFixture(t, 1)
+	f.Configure(accepted)
+	f.Restore(f.now, job, failedOnce)
+	if starts := f.startAll(); len(starts) != 1 || starts[0].Run != second {
+		t.Fatalf("have starts %v, want %v", starts, second)
+	}
+	f.Configure(newer)
+	if stops := f.Step(f.now).Stops; len(stops) > 0 {
+		t.Errorf("have stops %v of a run that may yet end as done, want none", stops)
+	}
+	f.advance(100 * time.Millisecond)
+	f.report(0, target.Report{Ended: []target.Ended{{Run: second, Number: 1, Outcome: target.Stopped}}})
+	if plan := f.Step(f.now.Add(time.Second)); len(plan.Starts) > 0 || len(plan.Writes) != 1 || plan.Writes[0].Record.GetPhase() != wire.JobPhase_JOB_PHASE_FAILED {
+		t.Errorf("after the run's end: have plan %+v, want the job failed and nothing started", plan)
+	}
+}
