The number of an end reaches only the incarnation that listed it

Cause: every renewal repeated the number of the last end that was noted, and the first renewal that an idle target's new incarnation got carried the former one's: it forgot its own ends up to it unread.

Change: a number is sent until it is delivered and no longer, and only on a connection that was open when the target's last report was requested (transport.OpenSince). Connections end with the process, so it reaches the incarnation that reported or nobody; without one the renewal goes out without the number.

TestIdleTargetThatRestartsForgetsNoEndsUnread failed before.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -23,6 +23,9 @@
 	// logInterval limits the log to one line per interval for a target that does not accept orders
 	// or is not sent them.
 	logInterval = time.Second
+	// maxLeftOut is how many acknowledgements in a row may be left out for want of a connection that
+	// was open before: a target may close each after a response.
+	maxLeftOut = 3
 )
 
 // agent communicates with one target. One goroutine renews the leases there and reads the
@@ -35,6 +38,11 @@
 	durable     int64
 	delivered   int64
 	incarnation int64
+	// reportRequested is when the renewal was sent that the incarnation reportedBy answered last.
+	reportRequested time.Time
+	reportedBy      int64
+	// leftOut counts the renewals in a row of which the acknowledgement was left out.
+	leftOut int
 	// unanswered says that the last renewal was not answered. Only the goroutine that renews
 	// uses it.
 	unanswered  bool
@@ -172,11 +180,14 @@
 		return target.RenewOrder{}, target.Listing{}, false
 	}
 	s.plan.RenewalSent(time.Now(), a.targetID)
-	order := target.RenewOrder{FenceToken: s.currentTerm.Token, Acknowledged: acknowledged}
-	if a.unanswered {
-		// The target may have restarted, and its new incarnation would forget ends that have the
-		// same numbers.
-		order.Acknowledged = 0
+	order := target.RenewOrder{FenceToken: s.currentTerm.Token}
+	if acknowledged != a.delivered && !a.unanswered && a.reportedBy == a.incarnation {
+		// Each number is sent until it is delivered, and no longer: the target may restart at any time,
+		// and a new incarnation would forget ends that have the same numbers.
+		order.Acknowledged, order.ReportRequested = acknowledged, a.reportRequested
+		if a.leftOut >= maxLeftOut {
+			order.ReportRequested = time.Time{}
+		}
 	}
 	if status.HasRuns {
 		order.Deadline = s.plan.Deadline(time.Now(), a.targetID)
@@ -207,10 +218,19 @@
 	s.mu.Lock()
 	// The numbers of ends count within one incarnation.
 	if a.incarnation == born && (report.Born == 0 || report.Born == born) {
-		a.delivered = max(a.delivered, order.Acknowledged)
+		a.delivered = max(a.delivered, report.Acknowledged)
+	}
+	if report.Acknowledged < order.Acknowledged {
+		a.leftOut++
+		metrics.GetOrRegisterCounter("target.renew.acknowledgementLeftOut", s.Metrics).Inc(1)
+	} else {
+		a.leftOut = 0
 	}
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
 	after := s.plan.TargetStatus(time.Now(), a.targetID)
+	if report.Born == 0 || report.Born == after.Listing.Born {
+		a.reportRequested, a.reportedBy = sent, after.Listing.Born
+	}
 	waiting := after.LastEnd > a.durableIn(after.Listing.Born)
 	s.mu.Unlock()
 	s.requestStep()
--- a/internal/coordinator/agent_test.go
+++ b/internal/coordinator/agent_test.go
@@ -126,20 +126,19 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 1)
 		var mu sync.Mutex
-		restarted, inTransit := false, false
+		inTransit := false
 		renewals := 0
-		d.renewed = func(id string, order target.RenewOrder, _ target.Answer) {
+		d.renewing = func(id string, order target.RenewOrder) {
 			if id != targetID(0) {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			renewals++
-			inTransit = inTransit || (restarted && order.Acknowledged > 0 && order.Wait > 0)
-			restarted = !inTransit && order.Wait > 0 && order.Acknowledged >= acknowledged
-			if restarted {
-				// The next renewal is in transit when the target restarts, and waits there while the
-				// planner reads the target's entry.
+			if !inTransit && order.Wait > 0 && order.Acknowledged >= acknowledged {
+				inTransit = true
+				// The renewal is in transit when the target restarts, and waits there while the planner
+				// reads the target's entry.
 				time.AfterFunc(transit, func() { d.addTarget(0, false) })
 			}
 		}
@@ -171,3 +170,25 @@
 		}
 	})
 }
+
+// Guards against a second run of a finished task: a target that had nothing to do restarts unnoticed,
+// and the next renewal must not have it forget its own ends by the numbers of its former incarnation.
+func TestIdleTargetThatRestartsForgetsNoEndsUnread(t *testing.T) {
+	const idle = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		for range 8 {
+			for range 4 {
+				d.submit()
+			}
+			time.Sleep(idle)
+			for i := range targetCount {
+				d.addTarget(i, false)
+			}
+		}
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -160,7 +160,8 @@
 	// suspended is the time, in nanoseconds, that the hosts' clocks of elapsed time are ahead
 	// because the hosts were suspended.
 	suspended atomic.Int64
-	// renewed is called by the hosts that start from now on; see tracedTargets.
+	// renewing and renewed are called by the hosts that start from now on; see tracedTargets.
+	renewing  func(id string, order target.RenewOrder)
 	renewed   func(id string, order target.RenewOrder, answer target.Answer)
 	stopHost  []context.CancelFunc
 	hostEnded []chan struct{}
@@ -259,7 +260,7 @@
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
--- a/internal/coordinator/coordinator_trace_test.go
+++ b/internal/coordinator/coordinator_trace_test.go
@@ -87,8 +87,9 @@
 type tracedTargets struct {
 	target.Targets
 	log log.Interface
-	// renewed is called after each renewal; nil for none.
-	renewed func(id string, order target.RenewOrder, answer target.Answer)
+	// renewing is called before each renewal, and renewed after it; nil for none.
+	renewing func(id string, order target.RenewOrder)
+	renewed  func(id string, order target.RenewOrder, answer target.Answer)
 }
 
 func (t *tracedTargets) Start(ctx context.Context, to target.Listing, order target.StartOrder) target.Reply {
@@ -110,6 +111,9 @@
 func (t *tracedTargets) Renew(ctx context.Context, to target.Listing, order target.RenewOrder) (target.Report, target.Reply) {
 	entry := t.log.WithFields(log.Fields{"target": to.ID, "born": to.Born, "token": order.FenceToken, "deadline": order.Deadline, "acknowledged": order.Acknowledged})
 	entry.Info("renewal sent")
+	if t.renewing != nil {
+		t.renewing(to.ID, order)
+	}
 	report, reply := t.Targets.Renew(ctx, to, order)
 	entry.WithFields(log.Fields{
 		"answer": reply.Answer, "answering": report.Born, "clock": reply.Clock, "running": report.Running, "ended": report.Ended,
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -108,6 +108,7 @@
 	run := target.Run{Task: task, Number: t.running[task].number}
 	f.event("run ends", log.Fields{"target": t.listing.ID, "born": t.listing.Born, "run": run, "how": how, "ago": time.Since(at)})
 	t.end(task, how, at)
+	f.acknowledge(t, 0)
 }
 
 // updateRuns ends the runs whose work is finished or whose lease has expired. The caller holds
@@ -244,13 +245,17 @@
 
 // renewAndReport carries out a renewal and reports the target's runs. The caller holds mu.
 func (f *Fleet) renewAndReport(ctx context.Context, t *incarnation, order target.RenewOrder) (target.Report, target.Reply) {
+	if !order.ReportRequested.IsZero() && t.started.After(order.ReportRequested) {
+		// No connection is left that was open then.
+		order.Acknowledged = 0
+	}
 	if answer := f.renew(t, order); answer != target.Accepted {
 		return target.Report{}, target.Reply{Answer: answer}
 	}
 	if f.awaitEnd(ctx, t, order.Wait); ctx.Err() != nil {
 		return target.Report{}, target.Reply{Answer: target.Unanswered}
 	}
-	report := target.Report{Born: t.listing.Born, Clock: t.clock()}
+	report := target.Report{Born: t.listing.Born, Clock: t.clock(), Acknowledged: order.Acknowledged}
 	for _, end := range t.ends {
 		report.Ended = append(report.Ended, end.Ended)
 	}
--- a/internal/standin/batchtarget/checks.go
+++ b/internal/standin/batchtarget/checks.go
@@ -100,13 +100,14 @@
 	}
 }
 
-// acknowledge discards the ends up to the number upTo. A task whose end `done` is acknowledged
+// acknowledge discards the ends up to the number upTo, now and when they come. A task whose end `done` is acknowledged
 // must not have been started again. Ends before the last expiry of the lease are not checked:
 // the task may have been started elsewhere after that.
 func (f *Fleet) acknowledge(t *incarnation, upTo int64) {
+	t.cursor = max(t.cursor, upTo)
 	kept := t.ends[:0]
 	for _, end := range t.ends {
-		if end.Number > upTo {
+		if end.Number > t.cursor {
 			kept = append(kept, end)
 			continue
 		}
--- a/internal/standin/batchtarget/incarnation.go
+++ b/internal/standin/batchtarget/incarnation.go
@@ -22,9 +22,11 @@
 	running  map[target.Task]*run
 	// highest is the highest run number of each task that has ended or was stopped.
 	highest map[target.Task]int
-	// ends are those not yet acknowledged; nextEnd is the number of the next one.
+	// ends are those not yet acknowledged; nextEnd is the number of the next one. cursor is the highest
+	// number that was acknowledged in this incarnation; a later end up to it is forgotten at once.
 	ends    []runEnd
 	nextEnd int64
+	cursor  int64
 	// lastExpiry is when the lease last expired.
 	lastExpiry  time.Time
 	unreachable bool
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -97,6 +97,8 @@
 	Running []Running
 	// Ended holds the ended runs that the planner has not acknowledged yet.
 	Ended []Ended
+	// Acknowledged is the number that the renewal acknowledged.
+	Acknowledged int64
 }
 
 // StartOrder orders a target to start a run.
@@ -117,8 +119,11 @@
 	Deadline time.Duration
 	// FenceToken is the planner's fencing token.
 	FenceToken int64
-	// Acknowledged is the number of the last ended run that the target no longer has to report.
-	Acknowledged int64
+	// Acknowledged is the number of the last ended run that the target no longer has to report. An
+	// incarnation that began after ReportRequested is not sent it, since it would forget ends of its
+	// own with these numbers; zero means that any incarnation is.
+	Acknowledged    int64
+	ReportRequested time.Time
 	// Wait is how long the target may delay its answer until a run ends.
 	Wait time.Duration
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +26,19 @@
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
+// ErrNotOpenSince is the error of a call for which no idle connection was open at the required time.
+// Nothing was sent.
+var ErrNotOpenSince = errors.New("no idle connection was open at the required time")
+
+type openSinceKey struct{}
+
+// OpenSince returns a context for calls that must use a connection which was open at a time, so that
+// they reach the process that the peer was then, or none: a process that starts again has new
+// connections.
+func OpenSince(ctx context.Context, at time.Time) context.Context {
+	return context.WithValue(ctx, openSinceKey{}, at)
+}
+
 // Pool is an http.RoundTripper that keeps idle connections for later calls. It never sends a request
 // twice. Set the fields before the first call.
 type Pool struct {
@@ -50,6 +64,7 @@
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
+	openedAt  time.Time
 	idleSince time.Time
 }
 
@@ -104,34 +119,43 @@
 	return nil, fmt.Errorf("the peer sent more than %d interim responses", maxInterim)
 }
 
-// connection returns an idle connection, or opens one.
+// connection returns an idle connection, or opens one unless the context requires one that was open
+// before; see OpenSince.
 func (p *Pool) connection(ctx context.Context, host string) (*connection, error) {
-	for c := p.takeIdle(host); c != nil; c = p.takeIdle(host) {
+	openAt, required := ctx.Value(openSinceKey{}).(time.Time)
+	if !required {
+		openAt = time.Now()
+	}
+	for c := p.takeIdle(host, openAt); c != nil; c = p.takeIdle(host, openAt) {
 		if time.Since(c.idleSince) < p.CheckAfter || c.isOpen() {
 			return c, nil
 		}
 		c.Close()
 	}
+	if required {
+		return nil, ErrNotOpenSince
+	}
 	conn, err := p.Dial(ctx, "tcp", host)
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readerBytes)}, nil
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readerBytes), openedAt: time.Now()}, nil
 }
 
-// takeIdle removes and returns the connection that was used last; nil if there is none.
-func (p *Pool) takeIdle(host string) *connection {
+// takeIdle removes and returns the connection that was used last among those that were open at a
+// time; nil if there is none.
+func (p *Pool) takeIdle(host string, openAt time.Time) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep()
 	kept := p.idle[host]
-	if len(kept) == 0 {
-		return nil
+	for i := len(kept) - 1; i >= 0; i-- {
+		if c := kept[i]; !c.openedAt.After(openAt) {
+			p.idle[host] = slices.Delete(kept, i, i+1)
+			return c
+		}
 	}
-	c := kept[len(kept)-1]
-	kept[len(kept)-1] = nil
-	p.idle[host] = kept[:len(kept)-1]
-	return c
+	return nil
 }
 
 // put keeps a connection for later calls.
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -198,3 +198,40 @@
 		})
 	}
 }
+
+// Guards against numbers that reach another process than they are meant for: a call that requires a
+// connection which was open at a time does not open one, and sends nothing.
+func TestCallThatRequiresAnOpenConnection(t *testing.T) {
+	calls := atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	client := newClient()
+	get := func(ctx context.Context) error {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return errors.Join(err, response.Body.Close())
+	}
+	before := time.Now()
+	if err := get(transport.OpenSince(t.Context(), before)); !errors.Is(err, transport.ErrNotOpenSince) {
+		t.Errorf("without a connection: have %v, want %v", err, transport.ErrNotOpenSince)
+	}
+	if err := get(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := get(transport.OpenSince(t.Context(), before)); !errors.Is(err, transport.ErrNotOpenSince) {
+		t.Errorf("with a connection that was opened later: have %v, want %v", err, transport.ErrNotOpenSince)
+	}
+	if err := get(transport.OpenSince(t.Context(), time.Now())); err != nil {
+		t.Errorf("with an open connection: have %v, want no error", err)
+	}
+	if have := calls.Load(); have != 2 {
+		t.Errorf("have %d calls at the server, want 2", have)
+	}
+}
