A failed end of a given-up run counts as an attempt

Cause: the end of a run that is no longer known was acknowledged without a look, unless it was `done`. Which runs are counted was besides kept for the current run only, and not stored.

Change: such an end counts once for each run number; the numbers are stored with the job's progress, so an end that a successor sees again isn't counted twice. If that uses up the attempts while a later run is alive, that run goes on and the job fails when it has ended otherwise than as done.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -70,9 +70,9 @@
 	checkpoint string
 	// members are the tasks of the current run that may be alive.
 	members []*member
-	// failureCounted says that the current run's failure has been counted.
-	failureCounted bool
-	startedAt      time.Time
+	// failedRuns holds the numbers of the runs that are counted in failures.
+	failedRuns []int
+	startedAt  time.Time
 	// preempted counts how often the unit was stopped to free capacity for another job.
 	preempted int
 	// moves counts how often the unit was moved for lack of progress.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -245,7 +245,7 @@
 func (p *pass) startRun(c *candidate, u *unit, chosen placement) {
 	j := c.step.job
 	u.run++
-	u.failureCounted, u.startedAt = false, time.Time{}
+	u.startedAt = time.Time{}
 	for i, n := range chosen.openNodes {
 		m := newMember(u, i, n.node, memberAwaitingWrite)
 		p.s.attach(m)
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -34,6 +34,9 @@
 		Occurrence: int32(u.step.occurrence.number), Step: int32(u.step.number), Index: int32(u.index),
 		Run: int32(u.run), Failures: int32(u.failures), Done: u.done, Checkpoint: u.checkpoint,
 	}
+	for _, number := range u.failedRuns {
+		record.FailedRuns = append(record.FailedRuns, int32(number))
+	}
 	if len(u.members) > 0 && !u.done {
 		record.Targets = make([]string, u.step.spec.Members())
 		for _, m := range u.members {
@@ -72,6 +75,15 @@
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
 	u.run, u.failures, u.checkpoint = int(record.GetRun()), int(record.GetFailures()), record.GetCheckpoint()
+	for _, number := range record.GetFailedRuns() {
+		u.failedRuns = append(u.failedRuns, int(number))
+	}
+	if len(u.failedRuns) < u.failures {
+		// An earlier release did not store which runs they were.
+		for number := range u.run {
+			u.failedRuns = append(u.failedRuns, number+1)
+		}
+	}
 	j := u.step.job
 	j.begun = j.begun || record.GetDone() || record.GetFailures() > 0 || record.GetCheckpoint() != ""
 	if record.GetDone() {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -94,8 +94,11 @@
 		if _, held := n.unknownStops[end.Run]; held {
 			s.holdTask(end.Task, now.Add(retryPause))
 		}
-		if end.Outcome == target.Done {
+		switch end.Outcome {
+		case target.Done:
 			s.completeGivenUp(now, end.Run)
+		case target.Failed:
+			s.failGivenUp(end.Run)
 		}
 		return
 	}
@@ -112,7 +115,7 @@
 		s.finishUnit(now, m)
 		return
 	case target.Failed:
-		s.countFailure(now, n, u)
+		s.runFailed(now, n, u)
 	}
 	s.close(now, m, "it ended as "+end.Outcome.String())
 	u.notBefore = now.Add(retryPause)
@@ -168,21 +171,40 @@
 	}
 }
 
-// countFailure counts a failure against the unit, once for each run, and against its target.
-func (s *Scheduler) countFailure(now time.Time, n *node, u *unit) {
+// failGivenUp counts the failure of a run that had been given up. If its unit has used up its attempts
+// by that, the job ends when the unit's latest run has; see endExhausted.
+func (s *Scheduler) failGivenUp(run target.Run) {
+	u := s.unit(run.Task)
+	if u == nil || u.done || run.Number > u.run || ended(u.step.job.phase) || !u.countFailure(run.Number) {
+		return
+	}
+	j := u.step.job
+	s.dirty[j.ID], s.toCheckAttempts[j.ID] = j, j
+	s.log("given-up run failed", Fields{"job": j.ID, "run": run, "latest": u.run, "members": len(u.members), "failures": u.failures, "maxAttempts": j.terms.MaxAttempts})
+}
+
+// runFailed counts the failure of a unit's current run, against the unit and against its target.
+func (s *Scheduler) runFailed(now time.Time, n *node, u *unit) {
 	u.avoidTarget = n.ID
 	n.failures++
 	n.block(now.Add(min(failurePause<<min(n.failures-1, 4), maxFailurePause)))
-	if u.failureCounted || u.step.spec.LongRunning {
-		return
-	}
-	u.failureCounted = true
-	u.failures++
-	if j := u.step.job; u.exhausted() && !ended(j.phase) {
+	if j := u.step.job; u.countFailure(u.run) && u.exhausted() && !ended(j.phase) {
 		s.endJob(now, j, failedPhase, exhaustedReason)
 	}
 }
 
+// countFailure counts the failure of a run against the unit, and reports whether it was not counted
+// before: each member of a gang may list it, and a target lists it again until it is acknowledged.
+// Long-running tasks have no limit.
+func (u *unit) countFailure(run int) bool {
+	if u.step.spec.LongRunning || slices.Contains(u.failedRuns, run) {
+		return false
+	}
+	u.failedRuns = append(u.failedRuns, run)
+	u.failures++
+	return true
+}
+
 func (n *node) block(until time.Time) {
 	if until.After(n.blockedUntil) {
 		n.blockedUntil = until
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,9 +41,9 @@
 	dirty map[string]*job
 	// allDone holds the open jobs that may have no units left, to be looked at in the next step.
 	allDone map[string]*job
-	// limitsChanged holds the jobs whose limit of attempts has changed, until none of their tasks that
-	// have used it up is running.
-	limitsChanged map[string]*job
+	// toCheckAttempts holds the jobs of which tasks may have used up their attempts other than by the end
+	// of their current run, until none of these tasks is running.
+	toCheckAttempts map[string]*job
 	// ends holds the targets of which ended runs were processed since the last step.
 	ends map[string]*node
 	// checkedAt is when the conditions that depend on the time alone were last checked.
@@ -122,7 +122,7 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
-		s.earlyCancellations, s.limitsChanged = map[string]time.Time{}, map[string]*job{}
+		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
 	}
 }
 
@@ -155,7 +155,7 @@
 		s.dirty[j.ID] = j
 	}
 	if j.terms.MaxAttempts != former.MaxAttempts {
-		s.limitsChanged[j.ID] = j
+		s.toCheckAttempts[j.ID] = j
 	}
 	s.log("terms changed", Fields{
 		"job": j.ID, "queue": j.Queue, "version": j.terms.Version, "service": j.terms.Service, "maxAttempts": j.terms.MaxAttempts, "priority": j.terms.Priority,
@@ -313,6 +313,6 @@
 func (s *Scheduler) Forget(id string) {
 	delete(s.jobs, id)
 	delete(s.open, id)
-	delete(s.limitsChanged, id)
+	delete(s.toCheckAttempts, id)
 	delete(s.earlyCancellations, id)
 }
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -80,10 +80,10 @@
 	clear(s.allDone)
 }
 
-// endExhausted ends the jobs of which a task has failed as often as a changed limit allows. A run
-// that is alive may go on: it may yet end as done.
+// endExhausted ends the jobs of which a task has used up its attempts, because the limit has changed or
+// a run that had been given up has failed. A run that is alive may go on: it may yet end as done.
 func (s *Scheduler) endExhausted(now time.Time) {
-	for id, j := range s.limitsChanged {
+	for id, j := range s.toCheckAttempts {
 		waits := false
 		for u := range j.units() {
 			if !u.exhausted() || ended(j.phase) {
@@ -96,7 +96,7 @@
 			s.endJob(now, j, failedPhase, exhaustedReason)
 		}
 		if !waits || ended(j.phase) {
-			delete(s.limitsChanged, id)
+			delete(s.toCheckAttempts, id)
 		}
 	}
 }
