SIGHUP ends no host, neither one that starts nor one that stops

Cause: the check of the settings ended with the context that SIGTERM cancels and gave SIGHUP its default action back; it also began only after the settings had been read.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -3,18 +3,16 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/entry"
+	"github.com/eelgrasstide/eelgrasstide/internal/hangup"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/logsink"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
@@ -40,6 +38,8 @@
 	cmd := app.Command("front", frontUsage)
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		path := os.Getenv(platform.SettingsVariable)
+		hangups := &hangup.Watch{Check: func() error { _, err := platform.LoadSettings(path); return err }, Log: log.Log}
+		hangups.Catch()
 		settings, err := platform.LoadSettings(path)
 		if err != nil {
 			return err
@@ -51,8 +51,7 @@
 		flushContext, stopFlush := context.WithCancel(context.WithoutCancel(ctx))
 		flushed := make(chan error, 1)
 		go func() { flushed <- sink.Run(flushContext) }()
-		go checkSettingsOnHangup(ctx, path)
-		err = newEntry(settings).Run(ctx)
+		err = whileWatching(ctx, hangups, newEntry(settings).Run)
 		stopFlush()
 		return errors.Join(err, <-flushed)
 	}
@@ -99,24 +98,3 @@
 		metrics.WriteOnce(registry, w)
 	})
 }
-
-// checkSettingsOnHangup reads the settings file again on each SIGHUP and logs whether it is
-// valid. It applies nothing: addresses and limits of a running host change only with a
-// restart.
-func checkSettingsOnHangup(ctx context.Context, path string) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.WithError(err).Error(fmt.Sprintf("front: %s is not valid; the host continues with the settings that it started with", path))
-				continue
-			}
-			log.Info("front: settings file checked; a restart takes changes over")
-		}
-	}
-}
--- a/cmd/eelgrasstide/main.go
+++ b/cmd/eelgrasstide/main.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/hangup"
 	"github.com/eelgrasstide/eelgrasstide/pkg/client"
 )
 
@@ -68,6 +69,20 @@
 	}
 }
 
+// whileWatching runs a host while hangups handles SIGHUP, until the host has ended: it answers calls
+// also after ctx has.
+func whileWatching(ctx context.Context, hangups *hangup.Watch, run func(context.Context) error) error {
+	watchContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- hangups.Run(watchContext) }()
+	err := run(ctx)
+	stop()
+	if end := <-ended; !errors.Is(end, context.Canceled) {
+		err = errors.Join(err, end)
+	}
+	return err
+}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := run(ctx, os.Args[1:])
