No start is repeated to a target that leaves after DrainMs

Cause: a start without an answer was repeated until its target answered, whatever that had said meanwhile.

Change: a start is sent or repeated only while it arrives within DrainMs of the target's word, by the entry's own clock. After that one that was never sent is withdrawn, and the run of one without an answer is stopped before its task starts elsewhere.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -51,7 +51,9 @@
 	// recoveryTime is how long all accepted jobs may take to end after the last fault.
 	recoveryTime = 90 * time.Second
 	// stopTime is how long a target takes to stop a run.
-	stopTime     = 400 * time.Millisecond
+	stopTime = 400 * time.Millisecond
+	// drainTime is how long after a target has said that it drains runs may still be started there.
+	drainTime    = 2 * time.Second
 	targetPrefix = "servers/"
 	// retention is longer than a sequence takes.
 	retention = time.Hour
@@ -160,7 +162,8 @@
 	// suspended is the time, in nanoseconds, that the hosts' clocks of elapsed time are ahead
 	// because the hosts were suspended.
 	suspended atomic.Int64
-	// renewing and renewed are called by the hosts that start from now on; see tracedTargets.
+	// starting, renewing and renewed are called by the hosts that start from now on; see tracedTargets.
+	starting  func(id string, order target.StartOrder)
 	renewing  func(id string, order target.RenewOrder)
 	renewed   func(id string, order target.RenewOrder, answer target.Answer)
 	stopHost  []context.CancelFunc
@@ -233,7 +236,12 @@
 // list writes the entry of a target.
 func (d *deployment) list(i int) {
 	d.unlisted[i] = false
-	value := fmt.Appendf(nil, "%d %d", i, d.born[i])
+	d.writeEntry(i, false)
+}
+
+// writeEntry writes the entry of a target that is ready or drains.
+func (d *deployment) writeEntry(i int, draining bool) {
+	value := fmt.Appendf(nil, "%d %d %t", i, d.born[i], draining)
 	d.commit(keyvalue.Txn{Puts: []keyvalue.Put{{Key: targetPrefix + targetID(i), Value: value}}})
 }
 
@@ -260,16 +268,19 @@
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, starting: d.starting, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
-			_, err := fmt.Sscan(string(value), &index, &incarnation)
-			return listing(index, incarnation), err
+			var draining bool
+			_, err := fmt.Sscan(string(value), &index, &incarnation, &draining)
+			found := listing(index, incarnation)
+			found.Draining = draining
+			return found, err
 		},
 		Limits: scheduler.Limits{
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
-			CheckpointPeriod: time.Second, StopTime: stopTime,
+			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime,
 		},
 		Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
--- a/internal/coordinator/coordinator_trace_test.go
+++ b/internal/coordinator/coordinator_trace_test.go
@@ -87,6 +87,8 @@
 type tracedTargets struct {
 	target.Targets
 	log log.Interface
+	// starting is called before each start; nil for none.
+	starting func(id string, order target.StartOrder)
 	// renewing is called before each renewal, and renewed after it; nil for none.
 	renewing func(id string, order target.RenewOrder)
 	renewed  func(id string, order target.RenewOrder, answer target.Answer)
@@ -95,6 +97,9 @@
 func (t *tracedTargets) Start(ctx context.Context, to target.Listing, order target.StartOrder) target.Reply {
 	entry := t.log.WithFields(log.Fields{"target": to.ID, "born": to.Born, "run": order.Run, "token": order.FenceToken, "deadline": order.Deadline})
 	entry.Info("start sent")
+	if t.starting != nil {
+		t.starting(to.ID, order)
+	}
 	reply := t.Targets.Start(ctx, to, order)
 	entry.WithFields(log.Fields{"answer": reply.Answer, "clock": reply.Clock}).Info("start answered")
 	return reply
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// sendStart sends a start. It repeats it if the target does not answer; any other answer is
-// final.
+// sendStart sends a start, unless its target leaves. It repeats it if the target does not answer; any
+// other answer is final.
 func (a *agent) sendStart(ctx context.Context, start scheduler.Start) {
 	s := a.session
 	if !s.maySendStarts() {
@@ -93,6 +93,12 @@
 		}
 		return
 	}
+	if status.TakesNoStarts {
+		s.plan.StartWithdrawn(time.Now(), start)
+		s.mu.Unlock()
+		a.logDropped("start", start.Run, "the target leaves")
+		return
+	}
 	wanted := s.plan.StartSent(start)
 	to := status.Listing
 	payload, checkpoint := s.plan.StartPayload(start)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -44,6 +44,9 @@
 	CheckpointPeriod time.Duration
 	// StopTime is the longest time that a target takes to stop a run.
 	StopTime time.Duration
+	// DrainTime is how long after a target has said that it drains runs may still be started there; 0
+	// if it is not known.
+	DrainTime time.Duration
 }
 
 // Validate returns an Invalid error if the task lease, the stop grace or the retention is out of
@@ -60,7 +63,7 @@
 	return scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
-		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime,
+		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime,
 	}
 }
 
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -40,6 +40,8 @@
 type node struct {
 	target.Listing
 	listed bool
+	// drainsSince is when the target said that it drains, on the planner's clock; zero if it does not.
+	drainsSince time.Time
 	// incarnationSince is when the planner first heard of the incarnation Born, and
 	// formerIncarnations holds the Born of those before it. They are not ordered by Born, because
 	// a target's time of day may be set back.
@@ -147,12 +149,32 @@
 			"draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack,
 		}))
 	}
+	switch {
+	case !listing.Draining:
+		n.drainsSince = time.Time{}
+	case n.drainsSince.IsZero():
+		n.drainsSince = now.Add(-n.age(now, listing))
+	}
 	n.Listing, n.listed = listing, true
 	if !n.contacted && listing.Clock > n.clockLowerBound(now) {
 		n.clock, n.clockAt = listing.Clock, now
 	}
 }
 
+// age returns how long ago an entry was written, by the target's own clock; 0 if that is not known.
+func (n *node) age(now time.Time, listing target.Listing) time.Duration {
+	if n.clockAt.IsZero() || listing.Clock == 0 {
+		return 0
+	}
+	return max(0, n.clock+now.Sub(n.clockAt)-listing.Clock)
+}
+
+// takesNoStarts reports whether a start that is sent now may arrive when the target, which drains, is
+// to start nothing more.
+func (n *node) takesNoStarts(now time.Time, drainTime time.Duration) bool {
+	return !n.drainsSince.IsZero() && now.Sub(n.drainsSince)+orderTransit >= drainTime
+}
+
 // TargetUnlisted handles the removal of a target's entry. Runs may still be alive there, so they
 // are kept until a report or the end of the target's lease shows that they are not.
 func (s *Scheduler) TargetUnlisted(now time.Time, id string) {
@@ -294,6 +316,8 @@
 	// Unresponsive says that the target has left a renewal unanswered for longer than
 	// unresponsiveAfter.
 	Unresponsive bool
+	// TakesNoStarts says that the target drains and that a start may arrive there too late.
+	TakesNoStarts bool
 }
 
 // TargetStatus returns the state of a target; only Removed is set for one that is not known.
@@ -304,7 +328,7 @@
 	}
 	return TargetStatus{
 		Listing: n.Listing, HasRuns: len(n.members)+len(n.unknownStops) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: n.removed(),
-		Unresponsive: n.unresponsive(now),
+		Unresponsive: n.unresponsive(now), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -272,9 +272,9 @@
 // StartSent records that a start is about to be sent. It reports whether the start is still
 // wanted.
 func (s *Scheduler) StartSent(start Start) bool {
-	m := s.member(start.Target, start.Run)
-	if m == nil || !m.stopDecided.IsZero() || m.state == memberConfirmed {
-		s.log("start dropped", Fields{"run": start.Run, "target": start.Target, "reason": m.startDropReason()})
+	m := s.wantedStart(start)
+	if m == nil {
+		s.log("start dropped", Fields{"run": start.Run, "target": start.Target, "reason": s.member(start.Target, start.Run).startDropReason()})
 		return false
 	}
 	m.state, m.sentTo = memberStartSent, m.node.Born
@@ -285,8 +285,8 @@
 // was never sent is withdrawn, so that its task can start elsewhere at once. It reports whether
 // the start is still wanted.
 func (s *Scheduler) StartHeldBack(now time.Time, start Start) bool {
-	m := s.member(start.Target, start.Run)
-	if m == nil || !m.stopDecided.IsZero() || m.state == memberConfirmed {
+	m := s.wantedStart(start)
+	if m == nil {
 		return false
 	}
 	if m.state == memberAwaitingWrite {
@@ -297,6 +297,23 @@
 	return true
 }
 
+// StartWithdrawn handles a start that is not sent because its target leaves. If earlier copies of it
+// were not answered, its run is stopped there before the task starts elsewhere.
+func (s *Scheduler) StartWithdrawn(now time.Time, start Start) {
+	if m := s.wantedStart(start); m != nil {
+		s.stopUnit(now, m.unit, "its target leaves and has not answered its start")
+	}
+}
+
+// wantedStart returns the member of a start that is still to be sent; nil if it is not.
+func (s *Scheduler) wantedStart(start Start) *member {
+	m := s.member(start.Target, start.Run)
+	if m == nil || !m.stopDecided.IsZero() || m.state == memberConfirmed {
+		return nil
+	}
+	return m
+}
+
 // startDropReason says why the start of a run is no longer wanted; m is nil if the run is closed.
 func (m *member) startDropReason() string {
 	switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,6 +80,8 @@
 	CheckpointPeriod time.Duration
 	// StopTime is the longest time that a stop takes.
 	StopTime time.Duration
+	// DrainTime is how long after a target has said that it drains runs may still be started there.
+	DrainTime time.Duration
 }
 
 // Start is a run to be started once the writes of its step are durable.
