The soak's targets lose their connections when they restart

A restarted target kept its connections through the soak's proxies, which no process does. The proxy resets all connections, and those that are opened meanwhile.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -163,8 +163,10 @@
 func (d *deployment) addTarget(ctx context.Context, i int) error {
 	if i < len(d.targets) {
 		t := d.targets[i]
-		t.listing.Born = time.Now().UnixMilli()
-		d.fleet.Add(t.listing)
+		t.link.restart(func() {
+			t.listing.Born = time.Now().UnixMilli()
+			d.fleet.Add(t.listing)
+		})
 		d.put(platformtest.TargetKey(t.listing.ID), platformtest.EncodeTargetEntry(t.listing, 0))
 		return nil
 	}
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -30,6 +30,8 @@
 	mode    atomic.Int32
 	// delay is the time added before the bytes of each read are passed on, in nanoseconds.
 	delay atomic.Int64
+	// down is set while the process behind the proxy restarts.
+	down atomic.Bool
 
 	listener    net.Listener
 	mu          sync.Mutex
@@ -59,7 +61,7 @@
 		if err != nil {
 			return
 		}
-		if mode(p.mode.Load()) == refuse {
+		if p.down.Load() || mode(p.mode.Load()) == refuse {
 			reset(client)
 			continue
 		}
@@ -72,6 +74,11 @@
 		p.mu.Lock()
 		p.connections[c] = struct{}{}
 		p.mu.Unlock()
+		if p.down.Load() {
+			// It may have been opened before the restart.
+			reset(client)
+			reset(server)
+		}
 		go p.forward(c, client, server, loseRequests)
 		go p.forward(c, server, client, loseAnswers)
 	}
@@ -121,6 +128,14 @@
 // resetAll resets all open connections.
 func (p *proxy) resetAll() { p.forEach(func(c *connection) { reset(c.client); reset(c.server) }) }
 
+// restart carries out a restart of the process behind the proxy, which loses all its connections.
+func (p *proxy) restart(carryOut func()) {
+	p.down.Store(true)
+	defer p.down.Store(false)
+	p.resetAll()
+	carryOut()
+}
+
 // silenceOpen silences all open connections until they are closed. New ones work.
 func (p *proxy) silenceOpen() { p.forEach(func(c *connection) { c.silenced.Store(true) }) }
 
