--- a/internal/loadmodel/fleet.go
+++ b/internal/loadmodel/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -254,12 +255,5 @@
 }
 
 func sortedKeys[V any](runs map[target.Run]V) []target.Run {
-	out := make([]target.Run, 0, len(runs))
-	for key := range runs {
-		out = append(out, key)
-	}
-	slices.SortFunc(out, func(a, b target.Run) int {
-		return compare(a, b)
-	})
-	return out
+	return slices.SortedFunc(maps.Keys(runs), target.Run.Compare)
 }
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -4,7 +4,6 @@
 package loadmodel
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -47,10 +46,6 @@
 	lost int
 }
 
-func compare(a, b target.Run) int {
-	return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
-}
-
 // Run plays the whole workload and returns what became of its jobs.
 func (m *Model) Run() *Report {
 	for m.now = 0; m.now < m.Workload.Length+finishTime; {
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -257,10 +256,3 @@
 	}
 	return priorityWorth[min(max(j.terms.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
 }
-
-func compareRuns(a, b target.Run) int {
-	return cmp.Or(
-		cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence), cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number),
-	)
-}
--- a/internal/scheduler/late_start.go
+++ b/internal/scheduler/late_start.go
@@ -55,7 +55,7 @@
 // out since it knows nothing of these runs. Those of open runs are stopped with their members.
 func (s *Scheduler) stopLateStarts(now time.Time, n *node) {
 	s.dropLateStarts(now, n)
-	runs := slices.SortedFunc(maps.Keys(n.lateStarts), compareRuns)
+	runs := slices.SortedFunc(maps.Keys(n.lateStarts), target.Run.Compare)
 	for _, run := range runs {
 		if n.members[run] != nil {
 			continue
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -126,7 +126,7 @@
 	n.used = n.used.Minus(m.unit.step.spec.CapacityUse())
 }
 
-func compareMembers(a, b *member) int { return compareRuns(a.run, b.run) }
+func compareMembers(a, b *member) int { return a.run.Compare(b.run) }
 
 // TargetListed handles a new or changed entry of a target in the store. An entry of a former
 // incarnation is ignored.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -3,6 +3,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -175,6 +176,14 @@
 	Renew(ctx context.Context, to Listing, order RenewOrder) (Report, Reply)
 }
 
+// Compare orders runs by job, occurrence, step, index and number. It returns -1, 0 or 1.
+func (r Run) Compare(other Run) int {
+	return cmp.Or(
+		cmp.Compare(r.Task.Job, other.Task.Job), cmp.Compare(r.Task.Occurrence, other.Task.Occurrence), cmp.Compare(r.Task.Step, other.Task.Step),
+		cmp.Compare(r.Task.Index, other.Task.Index), cmp.Compare(r.Number, other.Number),
+	)
+}
+
 // String returns the run as JOB.OCCURRENCE.STEP.INDEX/RUN, as the log shows it.
 func (r Run) String() string {
 	return fmt.Sprintf("%s.%d.%d.%d/%d", r.Task.Job, r.Task.Occurrence, r.Task.Step, r.Task.Index, r.Number)
