Records of earlier releases and removals found out late: read again and made plain

From reading the diff: the current run of an earlier release's record would not have counted when it failed (TestCurrentRunOfAnEarlierReleasesRecordCounts); Restore leaves a job alone that is known, as it did; a removal that had been carried out without an answer has one log line, whether or not the ID was used again.

--- a/internal/coordinator/removal.go
+++ b/internal/coordinator/removal.go
@@ -48,12 +48,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forget(id, submitted)
+	revision := int64(0)
 	for _, item := range result.Current {
 		if item.Key == records.SubmittedKey(id) {
-			s.Log.WithFields(log.Fields{"job": id, "revision": item.Revision, "former": submitted}).Info("coordinator: an expired job's ID has been used again")
+			revision = item.Revision
 			s.processSubmission(id, item, nil)
 		}
 	}
+	s.Log.WithFields(log.Fields{"job": id, "submitted": submitted, "submittedAgain": revision}).Info("coordinator: an expired job's records had been removed before")
 	s.requestStep()
 	return nil
 }
--- a/internal/scheduler/attempts_test.go
+++ b/internal/scheduler/attempts_test.go
@@ -113,3 +113,17 @@
 		}
 	}
 }
+
+// Guards against runs beyond the limit: a run that is alive when an earlier release's record is read
+// still counts when it fails.
+func TestCurrentRunOfAnEarlierReleasesRecordCounts(t *testing.T) {
+	job := &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Accepted: start, Steps: []workload.Step{smallStep(1)}}
+	second := scheduler.Start{Run: target.Run{Task: target.Task{Job: "a"}, Number: 2}, Target: "t1"}
+	f := newFixture(t, 2)
+	f.Restore(f.now, job, &wire.ProgressRecord{Phase: wire.JobPhase_JOB_PHASE_RUNNING, Units: []*wire.UnitRecord{{Run: 2, Failures: 1, Targets: []string{"t1"}}}})
+	f.fail(second, 1)
+	f.fail(f.startOne(), 2)
+	if plan := f.Step(f.now); len(plan.Starts) > 0 || phase(plan) != wire.JobPhase_JOB_PHASE_FAILED {
+		t.Errorf("after three failed runs: have starts %v and phase %s, want none and the job failed", plan.Starts, phase(plan))
+	}
+}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -54,6 +54,9 @@
 		s.Submit(now, submitted)
 		return
 	}
+	if s.HasJob(submitted.ID) {
+		return
+	}
 	s.initialise()
 	j := s.add(now, submitted, submitted.AcceptedTerms.Newer(terms.FromRecord(progress.GetTerms())))
 	j.phase = progress.GetPhase()
@@ -75,15 +78,7 @@
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
 	u.run, u.failures, u.checkpoint = int(record.GetRun()), int(record.GetFailures()), record.GetCheckpoint()
-	for _, number := range record.GetFailedRuns() {
-		u.failedRuns = append(u.failedRuns, int(number))
-	}
-	if len(u.failedRuns) < u.failures {
-		// An earlier release did not store which runs they were.
-		for number := range u.run {
-			u.failedRuns = append(u.failedRuns, number+1)
-		}
-	}
+	u.restoreFailedRuns(record)
 	j := u.step.job
 	j.begun = j.begun || record.GetDone() || record.GetFailures() > 0 || record.GetCheckpoint() != ""
 	if record.GetDone() {
@@ -106,6 +101,21 @@
 	u.startedAt = now
 }
 
+// restoreFailedRuns restores the numbers of the runs that are counted in failures. An earlier release
+// did not store them: then all runs count but a current one that may be alive.
+func (u *unit) restoreFailedRuns(record *wire.UnitRecord) {
+	for _, number := range record.GetFailedRuns() {
+		u.failedRuns = append(u.failedRuns, int(number))
+	}
+	if len(u.failedRuns) >= u.failures {
+		return
+	}
+	u.failedRuns = nil
+	for number := 1; number < u.run || (number == u.run && len(record.GetTargets()) == 0); number++ {
+		u.failedRuns = append(u.failedRuns, number)
+	}
+}
+
 // attach adds a member to its unit and to the runs and the used resources of its target.
 func (s *Scheduler) attach(m *member) {
 	u, n := m.unit, m.node
