--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -46,7 +46,8 @@
 	firstBorn = 1 << 20
 )
 
-// deployment is a small deployment under test: hosts, a store and targets.
+// deployment is a small deployment under test: hosts, a store and targets. It lives in the bubble of
+// one synctest.Test, whose clock all its pauses use.
 type deployment struct {
 	t      *testing.T
 	trace  *traceLog
@@ -244,7 +245,7 @@
 	return acceptedIDs
 }
 
-// recoverAndCheck ends all faults and checks that each accepted job ends done, or cancelled if
+// recoverAndCheck ends all faults, lets the time of the bubble pass and checks that each accepted job ends done, or cancelled if
 // a cancellation was sent. It returns the violations.
 func (d *deployment) recoverAndCheck() []string {
 	for _, link := range d.links {
--- a/internal/coordinator/removal_test.go
+++ b/internal/coordinator/removal_test.go
@@ -11,15 +11,21 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
+// newDeploymentWithRemovals returns a deployment and the transactions of its hosts that delete keys.
+func newDeploymentWithRemovals(t *testing.T) (*deployment, <-chan keyvalue.Txn) {
+	d := newDeployment(t, 1)
+	removals := make(chan keyvalue.Txn, 100)
+	for _, link := range d.links {
+		link.removals = removals
+	}
+	return d, removals
+}
+
 // Guards against lost jobs: a removal of an ended job's records that got no answer and that the
 // store carries out late, after another job was accepted under the ID, must leave that job alone.
 func TestLateRemovalLeavesAJobOfTheSameIDAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t, 1)
-		removals := make(chan keyvalue.Txn, 100)
-		for _, link := range d.links {
-			link.removals = removals
-		}
+		d, removals := newDeploymentWithRemovals(t)
 		time.Sleep(5 * time.Second)
 		d.submitThrough()
 		time.Sleep(retention + time.Minute)
@@ -39,11 +45,7 @@
 // next one, and a job that was accepted under the ID in between runs.
 func TestJobAcceptedAfterAnUnansweredRemovalRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t, 1)
-		removals := make(chan keyvalue.Txn, 100)
-		for _, link := range d.links {
-			link.removals = removals
-		}
+		d, removals := newDeploymentWithRemovals(t)
 		time.Sleep(5 * time.Second)
 		d.submitThrough()
 		time.Sleep(retention - time.Minute)
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -43,11 +43,7 @@
 // planner's reads of jobs and of progress it would make a finished job look new.
 func TestRemovalOfRecordsAfterTheTermDoesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t, 1)
-		removals := make(chan keyvalue.Txn, 100)
-		for _, link := range d.links {
-			link.removals = removals
-		}
+		d, removals := newDeploymentWithRemovals(t)
 		d.submit()
 		time.Sleep(retention + 30*time.Second)
 		removal := <-removals
