--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -17,15 +17,21 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/logsink"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
+	"github.com/eelgrasstide/eelgrasstide/internal/settings"
 	"github.com/eelgrasstide/eelgrasstide/platform"
 )
 
 const frontUsage = `Run an entry host on the users' platform.
 
 The environment variable ` + platform.SettingsVariable + ` holds the path of the settings file;
-every mistake in the file is printed. SIGTERM or SIGINT starts a graceful stop.
+every mistake in the file is printed. ` + ownSettingsVariable + ` may name a second file, in
+TOML, with settings of the scheduler and of the limits on clients; see docs/OPERATIONS.md.
+SIGTERM or SIGINT starts a graceful stop.
 SIGHUP checks the settings file again; changes take effect at the next start.`
 
+// ownSettingsVariable is the environment variable that holds the path of the product's own settings file.
+const ownSettingsVariable = "EELGRASSTIDE_SETTINGS"
+
 const (
 	// memoryLimitShare is the share of the host's memory that the Go runtime has as its soft
 	// memory limit.
@@ -40,32 +46,36 @@
 		path := os.Getenv(platform.SettingsVariable)
 		hangups := &hangup.Watch{Check: func() error { _, err := platform.LoadSettings(path); return err }, Log: log.Log}
 		hangups.Catch()
-		settings, err := platform.LoadSettings(path)
+		host, err := platform.LoadSettings(path)
+		if err != nil {
+			return err
+		}
+		own, err := settings.LoadFront(os.Getenv(ownSettingsVariable))
 		if err != nil {
 			return err
 		}
-		debug.SetMemoryLimit(int64(float64(settings.Entry.MemoryMB<<20) * memoryLimitShare))
+		debug.SetMemoryLimit(int64(float64(host.Entry.MemoryMB<<20) * memoryLimitShare))
 		debug.SetGCPercent(frontGCPercent)
 		sink := &logsink.Sink{Writer: os.Stdout}
 		log.SetHandler(sink)
 		flushContext, stopFlush := context.WithCancel(context.WithoutCancel(ctx))
 		flushed := make(chan error, 1)
 		go func() { flushed <- sink.Run(flushContext) }()
-		err = whileWatching(ctx, hangups, newEntry(settings).Run)
+		err = whileWatching(ctx, hangups, newEntry(host, own).Run)
 		stopFlush()
 		return errors.Join(err, <-flushed)
 	}
 }
 
 // newEntry assembles an entry host from the platform's adapters.
-func newEntry(settings *platform.Settings) *entry.Entry {
+func newEntry(host *platform.Settings, own *settings.Front) *entry.Entry {
 	client := platform.NewClient()
 	registry := metrics.NewRegistry()
-	directStore := &platform.Store{Address: settings.Store, Client: client}
-	hostRoster := &roster.Roster{Store: directStore, Name: settings.Entry.Name, Zone: settings.Entry.Zone, Address: settings.Hosts, Log: log.Log}
+	directStore := &platform.Store{Address: host.Store, Client: client}
+	hostRoster := &roster.Roster{Store: directStore, Name: host.Entry.Name, Zone: host.Entry.Zone, Address: host.Hosts, Log: log.Log}
 	relayedStore := &relay.Relay{Direct: directStore, Peers: hostRoster.Peers, InOtherZone: hostRoster.InOtherZone, Client: client, Metrics: registry, Log: log.Log}
 	e := &entry.Entry{
-		Settings: settings.Entry, Store: relayedStore, Targets: &platform.Targets{Client: client}, Roster: hostRoster, Relay: relayedStore,
+		Settings: host.Entry, Own: own, Store: relayedStore, Targets: &platform.Targets{Client: client}, Roster: hostRoster, Relay: relayedStore,
 		Registry: registry, Log: log.Log,
 		StoreLayout: entry.StoreLayout{
 			OperatorPrefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, ReadCatalogue: platform.ReadCatalogue,
@@ -73,12 +83,12 @@
 		},
 	}
 	e.Intake = &intake.Intake{Store: e.Store, Catalogue: e.Catalogue, Metrics: registry, Log: log.Log}
-	e.Callers = entry.Listener{Address: settings.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
-	e.Ready = entry.Listener{Address: settings.Ready, Handler: readinessHandler(e)}
+	e.Callers = entry.Listener{Address: host.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
+	e.Ready = entry.Listener{Address: host.Ready, Handler: readinessHandler(e)}
 	hostMux := http.NewServeMux()
 	hostMux.Handle("/metrics", metricsHandler(registry))
 	hostMux.Handle("/", relayedStore.Handler())
-	e.Hosts = entry.Listener{Address: settings.Hosts, Handler: hostMux}
+	e.Hosts = entry.Listener{Address: host.Hosts, Handler: hostMux}
 	return e
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
+	"github.com/eelgrasstide/eelgrasstide/internal/settings"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
 )
@@ -50,8 +51,10 @@
 // Entry is a host that serves batch queues. Set the exported fields before Run.
 type Entry struct {
 	Settings Settings
-	Store    keyvalue.Service
-	Targets  target.Targets
+	// Own holds the product's own settings.
+	Own     *settings.Front
+	Store   keyvalue.Service
+	Targets target.Targets
 	// StoreLayout holds the platform's store keys and the decoders of their values.
 	StoreLayout StoreLayout
 	// Callers serves callers' calls, Ready the load balancer's health checks, and Hosts the
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -17,6 +17,8 @@
 	ProgressPrefix = "progress/"
 	PendingKey     = "planner-pending"
 	SpeedsKey      = "planner-speeds"
+	LoadKey        = "planner-load"
+	HandoverKey    = "planner-handover"
 	// SequenceKey changes with each write of the planner and is a condition of the next one, so
 	// that a write that the store carries out late has no effect.
 	SequenceKey = "planner-sequence"
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -24,6 +24,8 @@
 	// Draining means that the target is about to leave; DrainRemaining is the time until then.
 	Draining       bool
 	DrainRemaining time.Duration
+	// ColdRemaining is how much longer the target stays slow after its start.
+	ColdRemaining time.Duration
 	// Born identifies the target's incarnation: the time at which it started, in Unix
 	// milliseconds. A restarted target keeps its ID and has another Born, an earlier one if its
 	// time of day was set back.
