Relay: a read with no other way goes to the store after 250 ms

Cause: after an outage of the store a host without peers that answer made no direct call for up to 1 s, so callers were refused although the store answered again. Change: reads of one key, for which callers wait, go directly to the store 250 ms after the last direct call if no peer is due. Other calls keep their period. Measured: the new test fails without the change and passes with it; relay's tests pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,9 @@
 	relayAfterFailures = 2
 	// directRetryPeriod is the time between direct calls while calls go through other hosts.
 	directRetryPeriod = time.Second
+	// directReadPeriod is the same for reads of one key for which no peer is due either: callers wait for
+	// them.
+	directReadPeriod = 250 * time.Millisecond
 	// peerBackoff is the time without calls through peers after a call that neither the store
 	// nor a peer carried out. Each further such call starts it again.
 	peerBackoff = 400 * time.Millisecond
@@ -86,6 +89,18 @@
 	return true
 }
 
+// tryDirectRead reports whether a read for which there is no other way goes directly to the store. While
+// direct calls fail, that is directReadPeriod after the last direct call.
+func (r *Relay) tryDirectRead(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failures < relayAfterFailures || now.Before(r.nextDirect.Add(directReadPeriod-directRetryPeriod)) {
+		return false
+	}
+	r.nextDirect = now.Add(directRetryPeriod)
+	return true
+}
+
 // recordDirect records the result of a direct call and logs when direct calls start to fail
 // or work again. Invalid errors come from the request and say nothing about the store.
 func (r *Relay) recordDirect(err error) {
@@ -173,11 +188,19 @@
 	return out
 }
 
-// Get reads one key.
+// Get reads one key. A read that has no other way goes directly to the store sooner than other calls.
 func (r *Relay) Get(ctx context.Context, key string) (*keyvalue.Item, error) {
-	return do(ctx, r, func(ctx context.Context, service keyvalue.Service) (*keyvalue.Item, error) {
+	item, err := do(ctx, r, func(ctx context.Context, service keyvalue.Service) (*keyvalue.Item, error) {
 		return service.Get(ctx, key)
 	})
+	if !errkind.Unavailable.Is(err) || !r.tryDirectRead(time.Now()) {
+		return item, err
+	}
+	item, err = r.Direct.Get(ctx, key)
+	if ctx.Err() == nil {
+		r.recordDirect(err)
+	}
+	return item, err
 }
 
 // GetStale reads one key from a replica that may be seconds behind.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -169,3 +169,27 @@
 		})
 	}
 }
+
+// Guards against callers who are refused for up to a second after an outage of the store: a read that has no
+// other way goes to the store, though not more often than each 250 ms.
+func TestReadsNoticeThatTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &faultyStore{Service: &batchstore.Store{}}
+		store.refuse.Store(true)
+		r := newRelay(store)
+		for range 2 {
+			_, _ = r.Commit(t.Context(), createTxn("a"))
+		}
+		if _, err := r.Get(t.Context(), "a"); !errkind.Unavailable.Is(err) {
+			t.Errorf("Get just after a failure: have %v, want an unavailable error", err)
+		}
+		store.refuse.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		if _, err := r.Get(t.Context(), "a"); err != nil || r.Failing() {
+			t.Errorf("Get after 300 ms: have %v, failing %t, want no error", err, r.Failing())
+		}
+		if result, err := r.Commit(t.Context(), createTxn("a")); err != nil || !result.Applied {
+			t.Errorf("Commit after the read: have %+v, %v, want it applied", result, err)
+		}
+	})
+}
