Backoff: refused callers are told when to return

Cause: each refused caller was told to return after 1 s, whatever its deadline and its queue. Change: package backoff chooses the delay from the priority, the time that the caller has left and a hash of the job's ID, within bounds of [admission] in the settings; 503 has it in whole seconds and, in the body, as RetryAfterMs.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/backoff"
 	"github.com/eelgrasstide/eelgrasstide/internal/entry"
 	"github.com/eelgrasstide/eelgrasstide/internal/hangup"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
@@ -82,7 +83,10 @@
 			TargetPrefix: platform.TargetPrefix, ReadListing: platform.ReadListing,
 		},
 	}
-	e.Intake = &intake.Intake{Store: e.Store, Catalogue: e.Catalogue, Metrics: registry, Log: log.Log}
+	e.Intake = &intake.Intake{
+		Store: e.Store, Catalogue: e.Catalogue, StoreFailing: relayedStore.Failing, Metrics: registry, Log: log.Log,
+		Backoff: backoff.Backoff{Min: own.Admission.MinRetryAfter.AsDuration(), Max: own.Admission.MaxRetryAfter.AsDuration()},
+	}
 	e.Callers = entry.Listener{Address: host.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
 	e.Ready = entry.Listener{Address: host.Ready, Handler: readinessHandler(e)}
 	hostMux := http.NewServeMux()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/backoff"
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
@@ -20,7 +21,8 @@
 )
 
 const (
-	// RetryAfterSeconds is how long a caller should wait before it retries a refused call.
+	// RetryAfterSeconds is how long a caller should wait before it retries a refused call whose error has
+	// no delay of its own.
 	RetryAfterSeconds = 1
 	// idLength is the number of hexadecimal digits in a job's ID.
 	idLength = 16
@@ -42,8 +44,13 @@
 	Store keyvalue.Service
 	// Catalogue returns the configuration in force; nil until one has been read.
 	Catalogue func() *catalogue.Catalogue
-	Metrics   metrics.Registry
-	Log       log.Interface
+	// StoreFailing, if set, reports whether the host's own calls to the store fail. Writes then begin with
+	// a read.
+	StoreFailing func() bool
+	// Backoff chooses when refused callers return.
+	Backoff backoff.Backoff
+	Metrics metrics.Registry
+	Log     log.Interface
 
 	breaker breaker
 }
@@ -62,7 +69,9 @@
 	MaxBodyBytes int64
 	// Version is the configuration version that the call was checked against.
 	Version int64
-	timeout time.Duration
+	// Deadline is when the caller stops waiting; zero if it did not say so.
+	Deadline time.Time
+	timeout  time.Duration
 }
 
 // Admit finds the queue for the host and path of a call and checks the caller's API key.
@@ -119,31 +128,42 @@
 }
 
 // create writes a key unless it exists, and reports whether it existed. It retries failed
-// attempts within the time that the breaker allows. The error is Unavailable only if no
-// attempt can have taken effect, and Ambiguous otherwise.
-func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
-	allowed := i.breaker.allow(time.Now())
-	if allowed == 0 {
-		return false, errkind.Unavailable.New(storeRemedy, "Intake.create: the store did not accept the last write; one trial write is made every 250 ms")
+// attempts within writeTimeout. The error is Unavailable only if no attempt can have taken effect,
+// and Ambiguous otherwise.
+func (i *Intake) create(caller context.Context, key string, value []byte) (known bool, err error) {
+	trial, err := i.enter(caller)
+	if err != nil {
+		return false, err
+	}
+	if trial {
+		defer i.breaker.endTrial()
+		if item, err := i.tryStore(caller, key); err != nil || item != nil {
+			return item != nil, err
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, allowed)
+	ctx, cancel := context.WithTimeout(caller, writeTimeout)
 	defer cancel()
-	refusedBy := time.Now().Add(refusedTimeout)
-	ambiguous := false
+	start := time.Now()
+	// failed says that an attempt failed for another reason than the end of the caller's time.
+	ambiguous, failed := false, false
 	for wait := retryMinWait; ; wait = min(2*wait, retryMaxWait) {
+		sent := time.Now()
 		result, err := i.attempt(ctx, key, value)
 		if err == nil {
-			i.recordWrite(true)
+			i.recordWrite(sent, true)
 			return !result.Applied, nil
 		}
 		ambiguous = ambiguous || !errkind.Unavailable.Is(err)
-		if !ambiguous && time.Now().After(refusedBy) {
-			i.recordWrite(false)
+		failed = failed || caller.Err() == nil
+		if !ambiguous && time.Since(start) > refusedTimeout {
+			i.recordWrite(start, false)
 			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect within 300 ms: %v", err)
 		}
 		select {
 		case <-ctx.Done():
-			i.recordWrite(false)
+			if failed {
+				i.recordWrite(start, false)
+			}
 			if ambiguous {
 				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
@@ -161,8 +181,8 @@
 }
 
 // recordWrite reports the outcome of a write to the breaker and logs a change of its state.
-func (i *Intake) recordWrite(answered bool) {
-	if i.breaker.record(time.Now(), answered) {
+func (i *Intake) recordWrite(sent time.Time, answered bool) {
+	if i.breaker.record(sent, time.Now(), answered) {
 		i.Log.WithField("writes", answered).Warn("intake: whether the store takes writes has changed")
 	}
 }
@@ -239,13 +259,28 @@
 	return log.Fields{"request": call.Request, "job": call.ID, "queue": call.Queue, "organisation": call.Organisation, "version": call.Version}
 }
 
-// reject counts and logs a refused call, and returns err.
+// reject counts and logs a refused call, and returns err, with the delay for the caller if the call may
+// succeed later.
 func (i *Intake) reject(call Call, err error) error {
 	metrics.GetOrRegisterCounter("intake.refused."+errkind.NameOf(err), i.Metrics).Inc(1)
-	i.Log.WithFields(i.fields(call)).WithField("kind", errkind.NameOf(err)).WithField("cause", errkind.Message(err)).Info("intake: call refused")
+	entry := i.Log.WithFields(i.fields(call)).WithField("kind", errkind.NameOf(err)).WithField("cause", errkind.Message(err))
+	if errkind.Unavailable.Is(err) {
+		delay := i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()})
+		err = backoff.Attach(err, delay)
+		entry = entry.WithField("returnAfter", delay.Exact)
+	}
+	entry.Info("intake: call refused")
 	return err
 }
 
+// left returns how long the caller still waits; 0 if that is not known.
+func (c *Call) left() time.Duration {
+	if c.Deadline.IsZero() {
+		return 0
+	}
+	return max(time.Until(c.Deadline), time.Millisecond)
+}
+
 // logAnswer counts and logs an answered call and records its latency in milliseconds.
 func (i *Intake) logAnswer(call Call, event string, start time.Time, more log.Fields) {
 	took := time.Since(start)
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/backoff"
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -36,7 +37,8 @@
 	return f, f.Validate()
 }
 
-// Defaults creates the tables that the file does not have.
+// Defaults creates the tables that the file does not have, and sets the default values of the fields that
+// are not set.
 func (f *Front) Defaults() {
 	if f.Policy == nil {
 		f.Policy = &wire.PolicySettings{}
@@ -44,6 +46,8 @@
 	if f.Admission == nil {
 		f.Admission = &wire.AdmissionSettings{}
 	}
+	setDuration(&f.Admission.MinRetryAfter, backoff.DefaultMin)
+	setDuration(&f.Admission.MaxRetryAfter, backoff.DefaultMax)
 	if f.Ingress == nil {
 		f.Ingress = &wire.IngressSettings{}
 	}
@@ -51,4 +55,17 @@
 
 // Validate returns all mistakes, those found while decoding included, as one error of kind
 // Invalid, or nil.
-func (f *Front) Validate() error { return decoder.Err(f.decoder.Problems) }
+func (f *Front) Validate() error {
+	f.validateAdmission()
+	return decoder.Err(f.decoder.Problems)
+}
+
+func (f *Front) validateAdmission() {
+	shortest, longest := f.Admission.MinRetryAfter.AsDuration(), f.Admission.MaxRetryAfter.AsDuration()
+	if shortest <= 0 {
+		f.decoder.Report("admission.minRetryAfter", `use a duration above 0, such as "200ms"`, "%s is not above 0", shortest)
+	}
+	if longest < shortest {
+		f.decoder.Report("admission.maxRetryAfter", "set it to at least minRetryAfter", "%s is below minRetryAfter, %s", longest, shortest)
+	}
+}
