--- a/cmd/eelgrasstide/check.go
+++ b/cmd/eelgrasstide/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -10,19 +11,35 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/rules"
+	"github.com/eelgrasstide/eelgrasstide/internal/settings"
 )
 
 const checkUsage = `Check configuration files, without calling a host.
 
 The files of a folder that end in .toml are merged in the order of their names.
 Each mistake is printed as file:line: key: what is wrong; what to do.
+With --settings, it checks the settings file that ` + ownSettingsVariable + ` names for front.
 
-Example: eelgrasstide check ./configuration`
+Examples: eelgrasstide check ./configuration
+          eelgrasstide check --settings front.toml`
 
 func checkCommand(app *kingpin.Application, _ *globalFlags) (string, func(context.Context) error) {
 	cmd := app.Command("check", checkUsage)
-	path := cmd.Arg("path", "Folder of .toml files, or one file.").Required().String()
+	path := cmd.Arg("path", "Folder of .toml files, or one file.").String()
+	front := cmd.Flag("settings", "Settings file of front.").String()
 	return cmd.FullCommand(), func(context.Context) error {
+		if *path == "" && *front == "" {
+			return errors.New("nothing to check; name a folder, a file, or a settings file with --settings")
+		}
+		if *front != "" {
+			if _, err := settings.LoadFront(*front); err != nil {
+				return err
+			}
+			fmt.Println("the settings are valid")
+		}
+		if *path == "" {
+			return nil
+		}
 		files, err := readFiles(*path)
 		if err != nil {
 			return err
