Hosts on the platform know the cordons of availability zones

Cause: an operator's request under the platform's operator prefix was read by nobody. Change: entry.Follower, taken out of Entry, keeps the configuration as before and a cordon.Set beside it: a full list replaces the set, watched changes and deletions update it, a compacted history is listed again. The set is as old as the sending of the call that confirmed it. After a failed call the next watch returns at once; the planner's watches wait a tenth of the bound. platform.CordonedZone decodes the key; requests that do not name one zone are logged. Measured: go test -race ./internal/entry ./platform; the tests fail when lists are merged, deletions or events are left out, malformed keys taken, or the time of the answer used.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -79,7 +79,7 @@
 		Registry: registry, Log: log.Log,
 		StoreLayout: entry.StoreLayout{
 			OperatorPrefix: platform.OperatorPrefix, ConfigurationKey: platform.ConfigurationKey, ReadCatalogue: platform.ReadCatalogue,
-			TargetPrefix: platform.TargetPrefix, ReadListing: platform.ReadListing,
+			CordonedZone: platform.CordonedZone, TargetPrefix: platform.TargetPrefix, ReadListing: platform.ReadListing,
 		},
 	}
 	e.Intake = &intake.Intake{Store: e.Store, Catalogue: e.Catalogue, Metrics: registry, Log: log.Log}
--- a/internal/cordon/cordon.go
+++ b/internal/cordon/cordon.go
@@ -32,3 +32,17 @@
 	}
 	return now.Sub(s.Confirmed), true
 }
+
+// With returns the set after the request for a zone was written, or removed, at a revision.
+func (s *Set) With(zone string, revision int64, requested bool) *Set {
+	next := &Set{Revisions: maps.Clone(s.Revisions), Confirmed: s.Confirmed}
+	switch {
+	case !requested:
+		delete(next.Revisions, zone)
+	case next.Revisions == nil:
+		next.Revisions = map[string]int64{zone: revision}
+	default:
+		next.Revisions[zone] = revision
+	}
+	return next
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,8 +33,6 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 16 << 10
-	maxWatchWait   = time.Second
-	retryInterval  = 150 * time.Millisecond
 	// retentionMargin is how much longer than Settings.Retention the records of ended jobs are
 	// kept.
 	retentionMargin = 10 * time.Second
@@ -72,18 +70,21 @@
 	Registry metrics.Registry
 	Log      log.Interface
 
-	catalogue atomic.Pointer[catalogue.Catalogue]
-	stopping  atomic.Bool
+	follower Follower
+	stopping atomic.Bool
 }
 
-// StoreLayout holds the store keys of the configuration and of the targets' entries, and the
-// decoders of their values. ConfigurationKey begins with OperatorPrefix.
+// StoreLayout holds the store keys of the operators and of the targets' entries, and the decoders of
+// their values. ConfigurationKey and the keys of cordons begin with OperatorPrefix.
 type StoreLayout struct {
 	OperatorPrefix   string
 	ConfigurationKey string
 	ReadCatalogue    func(value []byte) (*catalogue.Catalogue, error)
-	TargetPrefix     string
-	ReadListing      func(key string, value []byte) (target.Listing, error)
+	// CordonedZone returns the availability zone that a key of the operators asks to cordon; empty for
+	// a key of another kind.
+	CordonedZone func(key string) (string, error)
+	TargetPrefix string
+	ReadListing  func(key string, value []byte) (target.Listing, error)
 }
 
 // Listener is an address and the handler that serves it.
@@ -93,7 +94,7 @@
 }
 
 // Catalogue returns the configuration in force; nil until one has been read.
-func (e *Entry) Catalogue() *catalogue.Catalogue { return e.catalogue.Load() }
+func (e *Entry) Catalogue() *catalogue.Catalogue { return e.follower.Catalogue() }
 
 // Stopping reports whether a graceful stop has begun.
 func (e *Entry) Stopping() bool { return e.stopping.Load() }
@@ -121,7 +122,8 @@
 	e.Log.WithFields(log.Fields{"name": e.Settings.Name, "zone": e.Settings.Zone, "callers": e.Callers.Address.String()}).Info("entry: started")
 	loopContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	loops := []background.Loop{{Name: "configuration", Run: e.followConfiguration}, {Name: "roster", Run: e.Roster.Run}}
+	e.follower.Store, e.follower.Layout, e.follower.Metrics, e.follower.Log = e.Store, &e.StoreLayout, e.Registry, e.Log
+	loops := []background.Loop{{Name: "configuration", Run: e.follower.Run}, {Name: "roster", Run: e.Roster.Run}}
 	if e.Relay != nil {
 		loops = append(loops, background.Loop{Name: "relay", Run: e.Relay.Run})
 	}
@@ -206,81 +208,3 @@
 		}
 	}
 }
-
-// followConfiguration reads the configuration, watches it for changes and puts each new
-// version in force until ctx ends. It logs when the store becomes unreachable or reachable.
-func (e *Entry) followConfiguration(ctx context.Context) error {
-	after := int64(0)
-	reachable := true
-	for ctx.Err() == nil {
-		var err error
-		if after == 0 {
-			after, err = e.readConfiguration(ctx)
-		} else {
-			after, err = e.watchConfiguration(ctx, after)
-		}
-		if (err == nil) != reachable && ctx.Err() == nil {
-			reachable = err == nil
-			e.Log.WithFields(log.Fields{"reachable": reachable, "cause": err, "revision": after}).Warn("entry: the store's reachability changed")
-		}
-		if err != nil {
-			sleep(ctx, retryInterval)
-		}
-	}
-	return ctx.Err()
-}
-
-// readConfiguration reads the configuration and returns the revision to watch from.
-func (e *Entry) readConfiguration(ctx context.Context) (int64, error) {
-	items, revision, err := e.Store.List(ctx, e.StoreLayout.OperatorPrefix)
-	if err != nil {
-		return 0, err
-	}
-	e.adopt(items)
-	return revision, nil
-}
-
-// watchConfiguration waits for changes and returns the revision to watch from next. That is 0
-// if the store has compacted the history, so that the configuration has to be read in full.
-func (e *Entry) watchConfiguration(ctx context.Context, after int64) (int64, error) {
-	events, err := e.Store.Watch(ctx, e.StoreLayout.OperatorPrefix, after, maxWatchWait)
-	if err != nil {
-		return after, err
-	}
-	if events.Compacted {
-		e.Log.WithField("after", after).Warn("entry: the store has compacted the configuration's history; reading the configuration in full")
-		return 0, nil
-	}
-	e.adopt(events.Items)
-	return events.Revision, nil
-}
-
-// adopt puts a configuration in force if its version is higher than the current one. A
-// configuration that cannot be decoded is logged and ignored.
-func (e *Entry) adopt(items []keyvalue.Item) {
-	for _, item := range items {
-		if item.Key != e.StoreLayout.ConfigurationKey || item.Deleted {
-			continue
-		}
-		decoded, err := e.StoreLayout.ReadCatalogue(item.Value)
-		if err != nil {
-			e.Log.WithError(err).WithField("revision", item.Revision).Error("entry: a configuration could not be decoded and is ignored")
-			continue
-		}
-		if current := e.Catalogue(); current != nil && current.Version >= decoded.Version {
-			continue
-		}
-		e.catalogue.Store(decoded)
-		e.Log.WithFields(log.Fields{"version": decoded.Version, "revision": item.Revision, "queues": len(decoded.Queues), "organisations": len(decoded.Organisations)}).Info("entry: configuration in force")
-	}
-}
-
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
