The scheduler starts nothing in cordoned zones

Cause: the scheduler placed work on targets of zones that an operator had asked to leave alone. Change: targets of a cordoned zone are left out of each placement pass, and so of racks, reservations and stops. On a new cordon, starts that were not sent are withdrawn, and runs of starts that were not answered are stopped before their tasks start elsewhere. A start is checked again when it is sent, and all starts are held back while the cordons were confirmed longer ago than half of the bound; a planner that does not know them places nothing. Runs in the zone go on.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/background"
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -66,9 +67,11 @@
 	ReadListing  func(key string, value []byte) (target.Listing, error)
 	// Catalogue returns the configuration in force; nil until one has been read.
 	Catalogue func() *catalogue.Catalogue
-	Limits    scheduler.Limits
-	Metrics   metrics.Registry
-	Log       log.Interface
+	// Cordons returns what is known of the cordons, never nil.
+	Cordons func() *cordon.Set
+	Limits  scheduler.Limits
+	Metrics metrics.Registry
+	Log     log.Interface
 }
 
 // session is the state of one term.
@@ -245,6 +248,7 @@
 		s.catalogueVersion = current.Version
 		s.plan.Configure(current)
 	}
+	s.plan.SetCordons(now, s.Cordons())
 	plan := s.plan.Step(now)
 	for _, stop := range plan.Stops {
 		s.agent(stop.Target).stop(stop)
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -40,6 +40,8 @@
 	// drainTime is how long after a target has said that it drains runs may still be started there.
 	drainTime    = 2 * time.Second
 	targetPrefix = "servers/"
+	// cordonTime is how long after the request for a cordon starts may still arrive in its zone.
+	cordonTime = 5 * time.Second
 	// retention is longer than a sequence takes.
 	retention = time.Hour
 	// firstBorn leaves space for incarnations that begin before the first ones.
@@ -78,6 +80,9 @@
 	cancelled   map[string]bool
 	incarnation int64
 	submitted   int
+	// cordonTime is the bound for cordons at the hosts that start from now on. They follow the operators'
+	// keys only if it is not 0.
+	cordonTime time.Duration
 }
 
 func newDeployment(t *testing.T, seed int64) *deployment {
@@ -85,7 +90,7 @@
 		t: t, trace: &traceLog{started: time.Now()}, random: rand.New(rand.NewPCG(uint64(seed), 1)), store: &batchstore.Store{},
 		accepted: map[string]*workload.Job{}, cancelled: map[string]bool{}, incarnation: 1,
 	}
-	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, LateOrdersOutliveRestarts: *lateOrdersOutlive, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
+	d.fleet = &batchtarget.Fleet{MaxFailures: attempts, StopTime: stopTime, CordonTime: cordonTime, LateOrdersOutliveRestarts: *lateOrdersOutlive, Log: d.trace.named("fleet"), RunFails: func(run target.Run) bool {
 		return run.Task.Index == 1 && run.Number == 1
 	}}
 	configuration := &catalogue.Catalogue{
@@ -115,7 +120,7 @@
 
 func listing(i int, incarnation int64) target.Listing {
 	return target.Listing{
-		ID: targetID(i), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r%d", i/targetsPerRack), Born: incarnation,
+		ID: targetID(i), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Rack: fmt.Sprintf("r%d", i/targetsPerRack), Zone: zoneOf(i), Born: incarnation,
 		Capacity: workload.Resources{MilliCores: 8000, MemoryMB: 800, Accelerators: 4},
 	}
 }
@@ -158,7 +163,7 @@
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, starting: d.starting, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load,
+		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, starting: d.starting, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load, Cordons: d.follow(ctx, i, hostLog),
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
@@ -170,7 +175,7 @@
 		},
 		Limits: scheduler.Limits{
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
-			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime,
+			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime, CordonTime: d.cordonTime,
 		},
 		Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
@@ -250,6 +255,10 @@
 func (d *deployment) recoverAndCheck() []string {
 	for _, link := range d.links {
 		link.cut.Store(false)
+		link.operatorsCut.Store(false)
+	}
+	for zone := range zoneCount {
+		d.uncordon(zone)
 	}
 	d.store.LoseAnswers(0, 0)
 	for i := range targetCount {
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -14,6 +14,8 @@
 type link struct {
 	keyvalue.Service
 	cut atomic.Bool
+	// operatorsCut makes only the reads of the operators' keys fail.
+	operatorsCut atomic.Bool
 	// removals receives the transactions that delete keys; nil drops them.
 	removals chan<- keyvalue.Txn
 	// lostRemovals is how many of the next transactions that delete keys are carried out without an
@@ -59,7 +61,7 @@
 }
 
 func (l *link) List(ctx context.Context, prefix string) ([]keyvalue.Item, int64, error) {
-	if l.cut.Load() {
+	if l.cut.Load() || (prefix == operatorPrefix && l.operatorsCut.Load()) {
 		sleep(ctx, time.Second)
 		return nil, 0, errCut
 	}
@@ -69,7 +71,7 @@
 }
 
 func (l *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (keyvalue.Events, error) {
-	if l.cut.Load() {
+	if l.cut.Load() || (prefix == operatorPrefix && l.operatorsCut.Load()) {
 		sleep(ctx, time.Second)
 		return keyvalue.Events{}, errCut
 	}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// sendStart sends a start, unless its target leaves. It repeats it if the target does not answer; any
-// other answer is final.
+// sendStart sends a start, unless its target leaves or is cordoned. It repeats it if the target does
+// not answer; any other answer is final.
 func (a *agent) sendStart(ctx context.Context, start scheduler.Start) {
 	s := a.session
 	if !s.maySendStarts() {
@@ -84,9 +84,9 @@
 		return
 	}
 	s.mu.Lock()
-	if age := time.Since(s.jobsSeen); age > maxJobsAge {
+	if reason := s.outdated(time.Now()); reason != "" {
 		s.mu.Unlock()
-		a.holdBack(ctx, start, "what is known of cancellations is too old")
+		a.holdBack(ctx, start, reason)
 		return
 	}
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
@@ -98,10 +98,14 @@
 		}
 		return
 	}
-	if status.TakesNoStarts {
-		s.plan.StartWithdrawn(time.Now(), start)
+	if status.TakesNoStarts || status.Cordoned {
+		reason := "its target leaves"
+		if status.Cordoned {
+			reason = "its target is cordoned"
+		}
+		s.plan.StartWithdrawn(time.Now(), start, reason)
 		s.mu.Unlock()
-		a.logDropped("start", start.Run, "the target leaves")
+		a.logDropped("start", start.Run, reason)
 		return
 	}
 	wanted := s.plan.StartSent(start)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -150,9 +150,14 @@
 func (e *Entry) newElection() *term.Election {
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
-		Catalogue: e.Catalogue, Limits: e.Settings.limits(), Metrics: e.Registry, Log: e.Log,
+		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.Settings.limits(), Metrics: e.Registry, Log: e.Log,
 	}
-	return &term.Election{Store: e.Store, Name: e.Settings.Name, Delay: e.Settings.delay(), Elapsed: elapsed, Lead: planner.Lead, Log: e.Log}
+	lead := func(ctx context.Context, current *term.Term) error {
+		e.follower.SetPlanning(e.Settings.CordonTime)
+		defer e.follower.SetPlanning(0)
+		return planner.Lead(ctx, current)
+	}
+	return &term.Election{Store: e.Store, Name: e.Settings.Name, Delay: e.Settings.delay(), Elapsed: elapsed, Lead: lead, Log: e.Log}
 }
 
 // elapsed returns the time since the machine started, including the time that it was suspended.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -72,7 +72,7 @@
 	return scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
-		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime,
+		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime, CordonTime: s.CordonTime,
 	}
 }
 
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -318,6 +318,8 @@
 	Unresponsive bool
 	// TakesNoStarts says that the target drains and that a start may arrive there too late.
 	TakesNoStarts bool
+	// Cordoned says that the target's availability zone is cordoned.
+	Cordoned bool
 }
 
 // TargetStatus returns the state of a target; only Removed is set for one that is not known.
@@ -328,7 +330,7 @@
 	}
 	return TargetStatus{
 		Listing: n.Listing, HasRuns: len(n.members)+len(n.unknownStops) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: n.removed(),
-		Unresponsive: n.unresponsive(now), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
+		Unresponsive: n.unresponsive(now), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime), Cordoned: s.isCordoned(n),
 	}
 }
 
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -297,14 +297,6 @@
 	return true
 }
 
-// StartWithdrawn handles a start that is not sent because its target leaves. If earlier copies of it
-// were not answered, its run is stopped there before the task starts elsewhere.
-func (s *Scheduler) StartWithdrawn(now time.Time, start Start) {
-	if m := s.wantedStart(start); m != nil {
-		s.stopUnit(now, m.unit, "its target leaves and has not answered its start")
-	}
-}
-
 // wantedStart returns the member of a start that is still to be sent; nil if it is not.
 func (s *Scheduler) wantedStart(start Start) *member {
 	m := s.member(start.Target, start.Run)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -26,6 +27,8 @@
 	Log func(event string, fields Fields)
 
 	catalogue *catalogue.Catalogue
+	// cordons is what is known of the cordons; nil until SetCordons.
+	cordons *cordon.Set
 	// jobs and nodes hold the known jobs and targets by ID; estimates holds one estimate for
 	// each queue, by its name.
 	jobs      map[string]*job
@@ -82,6 +85,9 @@
 	StopTime time.Duration
 	// DrainTime is how long after a target has said that it drains runs may still be started there.
 	DrainTime time.Duration
+	// CordonTime is how long after the request for a cordon was acknowledged starts in its zone have to
+	// have ended; 0 if there is no such bound.
+	CordonTime time.Duration
 }
 
 // Start is a run to be started once the writes of its step are durable.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -26,7 +26,7 @@
 	s.markDone(now)
 	s.endExhausted(now)
 	s.fit(now)
-	if s.catalogue != nil {
+	if s.catalogue != nil && s.cordonsKnown() {
 		s.place(now)
 	}
 	plan := Plan{Starts: s.starts, Stops: s.stops, Wake: s.wake}
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -48,6 +48,8 @@
 	// LateOrdersOutliveRestarts says that an order that its target would have carried out late is
 	// carried out by the target's next incarnation, since it names the target by ID only.
 	LateOrdersOutliveRestarts bool
+	// CordonTime is how long after a cordon was acknowledged starts may still arrive in its zone.
+	CordonTime time.Duration
 	// Log receives what the targets do; nil discards it.
 	Log log.Interface
 
@@ -71,6 +73,8 @@
 	lastStart time.Time
 	// acknowledged holds the tasks whose end as done was acknowledged.
 	acknowledged map[target.Task]bool
+	// cordoned holds when the cordons of availability zones were acknowledged.
+	cordoned map[string]time.Time
 }
 
 // Add starts a target, or restarts it as a new incarnation without runs.
@@ -80,7 +84,7 @@
 	if f.targets == nil {
 		f.targets, f.jobs, f.cancelled = map[string]*incarnation{}, map[string]*workload.Job{}, map[string]time.Time{}
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
-		f.muted = map[string]bool{}
+		f.muted, f.cordoned = map[string]bool{}, map[string]time.Time{}
 		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
 	f.event("target begins", log.Fields{"target": listing.ID, "born": listing.Born})
@@ -159,6 +163,7 @@
 		return target.Reply{Answer: target.Unanswered}
 	}
 	f.lastStart = time.Now()
+	f.checkCordon(t, order)
 	if t.lateOrders > 0 {
 		t.lateOrders--
 		f.carryOutLate(ctx, to.ID, func(t *incarnation) { f.start(t, order) })
--- a/internal/standin/batchtarget/checks.go
+++ b/internal/standin/batchtarget/checks.go
@@ -27,6 +27,31 @@
 	f.cancelled[id] = time.Now()
 }
 
+// ZoneCordoned records that the cordon of an availability zone was acknowledged, and ZoneUncordoned
+// that it may have ended.
+func (f *Fleet) ZoneCordoned(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.cordoned[zone]; !ok {
+		f.cordoned[zone] = time.Now()
+	}
+}
+
+// ZoneUncordoned is described with ZoneCordoned.
+func (f *Fleet) ZoneUncordoned(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.cordoned, zone)
+}
+
+// checkCordon records a start that arrives too late after the cordon of its target's zone. When it is
+// carried out does not count: an order may be late for reasons that the scheduler can't know.
+func (f *Fleet) checkCordon(t *incarnation, order target.StartOrder) {
+	if at, ok := f.cordoned[t.listing.Zone]; ok && time.Since(at) > f.CordonTime {
+		f.addViolation("cordoned: %s arrived on %s %s after the cordon of its zone", order.Run, t.listing.ID, time.Since(at))
+	}
+}
+
 // LastStart returns when the last order to start a run arrived at a reachable target; zero if
 // none has.
 func (f *Fleet) LastStart() time.Time {
