A host that alone is cut off sends callers to other hosts at once

Cause: such a host tried the store for each call and told callers to return after the usual time, up to 1 s, though the balancer sends the next attempt to another host. Change: the relay also probes one host of its own zone; while neither that nor another zone nor the store answers, calls are refused in Intake.Admit with Retry-After 0 and 20 to 60 ms in RetryAfterMs. If a host of its own zone answers, the whole zone may be cut off and the usual delay holds.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -84,7 +84,7 @@
 		},
 	}
 	e.Intake = &intake.Intake{
-		Store: e.Store, Catalogue: e.Catalogue, StoreFailing: relayedStore.Failing, Metrics: registry, Log: log.Log,
+		Store: e.Store, Catalogue: e.Catalogue, StoreFailing: relayedStore.Failing, Alone: relayedStore.Alone, Metrics: registry, Log: log.Log,
 		Backoff: backoff.Backoff{Min: own.Admission.MinRetryAfter.AsDuration(), Max: own.Admission.MaxRetryAfter.AsDuration()},
 	}
 	e.Callers = entry.Listener{Address: host.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -30,6 +30,10 @@
 	priorityPart = 0.1
 	lowestPart   = 0.7
 	jitterPart   = 0.3
+	// A caller that another host may serve returns within elsewhereMin and elsewhereMax; the difference
+	// keeps callers apart who were refused together.
+	elsewhereMin = 20 * time.Millisecond
+	elsewhereMax = 60 * time.Millisecond
 	// minCallTime is what a caller needs at least for a call when it has returned.
 	minCallTime = 200 * time.Millisecond
 )
@@ -50,6 +54,8 @@
 	Wait time.Duration
 	// Left is how long the caller still waits for its job to be accepted; 0 if that is not known.
 	Left time.Duration
+	// Elsewhere says that only this host can't serve the call, so that a new attempt reaches another one.
+	Elsewhere bool
 }
 
 // Delay is the time after which a refused caller should return.
@@ -62,6 +68,10 @@
 // After returns the delay for a refused call. It is the same for equal refusals: the jitter follows from
 // the job's ID.
 func (b Backoff) After(refusal Refusal) Delay {
+	hash := float64(xxhash.Sum64String(refusal.ID)) / math.MaxUint64
+	if refusal.Elsewhere {
+		return Delay{Exact: elsewhereMin + time.Duration(hash*float64(elsewhereMax-elsewhereMin))}
+	}
 	shortest, longest := b.Min, b.Max
 	if shortest <= 0 {
 		shortest = DefaultMin
@@ -79,8 +89,7 @@
 	}
 	span = min(max(span, shortest), longest)
 	base := min(urgentPart+priorityPart*float64(max(refusal.Priority, 0)), lowestPart)
-	jitter := jitterPart * float64(xxhash.Sum64String(refusal.ID)) / math.MaxUint64
-	exact := min(max(time.Duration((base+jitter)*float64(span)), shortest), patience/2)
+	exact := min(max(time.Duration((base+jitterPart*hash)*float64(span)), shortest), patience/2)
 	// The whole seconds have to leave time for the call too.
 	if latest := (patience - minCallTime).Truncate(time.Second); latest >= time.Second {
 		exact = min(exact, latest)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -47,6 +47,9 @@
 	// StoreFailing, if set, reports whether the host's own calls to the store fail. Writes then begin with
 	// a read.
 	StoreFailing func() bool
+	// Alone, if set, reports whether this host is cut off from everything else while other hosts are not.
+	// All calls are then refused at once.
+	Alone func() bool
 	// Backoff chooses when refused callers return.
 	Backoff backoff.Backoff
 	Metrics metrics.Registry
@@ -75,8 +78,8 @@
 }
 
 // Admit finds the queue for the host and path of a call and checks the caller's API key.
-// Errors are Unavailable before a configuration has been read, NotFound for an unknown
-// queue or a malformed job ID, and Denied for an unknown key unless the queue is public.
+// Errors are Unavailable before a configuration has been read and while this host alone is cut off,
+// NotFound for an unknown queue or a malformed job ID, and Denied for an unknown key unless the queue is public.
 func (i *Intake) Admit(request, host, path, key string) (Call, error) {
 	current := i.Catalogue()
 	if current == nil {
@@ -97,6 +100,10 @@
 	if call.ID != "" && !validID(call.ID) {
 		return Call{}, i.reject(call, errkind.NotFound.New("use the 16 hexadecimal digits of the job's ID", "Intake.Admit: got job ID %q, want 16 hexadecimal digits", call.ID))
 	}
+	if i.Alone != nil && i.Alone() {
+		err := errkind.Unavailable.New("send the call again at once; another host will answer it", "Intake.Admit: this host reaches neither the platform's store nor any other host")
+		return Call{}, i.reject(call, backoff.Attach(err, i.Backoff.After(backoff.Refusal{ID: call.ID, Elsewhere: true})))
+	}
 	return call, nil
 }
 
@@ -265,8 +272,11 @@
 	metrics.GetOrRegisterCounter("intake.refused."+errkind.NameOf(err), i.Metrics).Inc(1)
 	entry := i.Log.WithFields(i.fields(call)).WithField("kind", errkind.NameOf(err)).WithField("cause", errkind.Message(err))
 	if errkind.Unavailable.Is(err) {
-		delay := i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()})
-		err = backoff.Attach(err, delay)
+		delay, ok := backoff.Of(err)
+		if !ok {
+			delay = i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()})
+			err = backoff.Attach(err, delay)
+		}
 		entry = entry.WithField("returnAfter", delay.Exact)
 	}
 	entry.Info("intake: call refused")
--- a/internal/relay/isolation.go
+++ b/internal/relay/isolation.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"slices"
 	"time"
+
+	"github.com/apex/log"
 )
 
 const (
 	// While the store does not answer, this host probes up to probedPeers random hosts of
-	// other zones once per probePeriod. It counts as isolated after isolatedAfter consecutive
-	// probes that no host answered.
+	// other zones and one of its own zone once per probePeriod. It counts as isolated after
+	// isolatedAfter consecutive probes that no host of another zone answered.
 	probePeriod   = 300 * time.Millisecond
 	probeTimeout  = 300 * time.Millisecond
 	probedPeers   = 3
@@ -25,8 +26,17 @@
 	return r.failures > 0 && r.failedProbes >= isolatedAfter
 }
 
-// Run probes hosts of other availability zones while the store does not answer. It returns
-// when ctx ends, with the error of ctx.
+// Alone reports whether this host is isolated and no host of its own availability zone answers it
+// either: other hosts then probably still serve callers. If one answers, the zone as a whole may be cut
+// off.
+func (r *Relay) Alone() bool {
+	isolated := r.Isolated()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return isolated && r.failedZoneProbes >= isolatedAfter
+}
+
+// Run probes other hosts while the store does not answer. It returns when ctx ends, with the error of ctx.
 func (r *Relay) Run(ctx context.Context) error {
 	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
@@ -40,35 +50,56 @@
 	}
 }
 
-// probe checks whether any of up to probedPeers hosts of other zones answers. It does
-// nothing while the last direct call to the store succeeded, or if no such host is known.
+// probe checks whether any of up to probedPeers hosts of other zones answers, and whether one of this
+// zone does. It does nothing while the last direct call to the store succeeded, or if no host of another
+// zone is known.
 func (r *Relay) probe(ctx context.Context) {
 	r.mu.Lock()
 	failures := r.failures
 	r.mu.Unlock()
-	peers := slices.DeleteFunc(r.shuffledPeers(), func(p *peer) bool { return !p.otherZone })
-	if failures == 0 || len(peers) == 0 {
+	var elsewhere, here []*peer
+	for _, p := range r.shuffledPeers() {
+		switch {
+		case p.otherZone && len(elsewhere) < probedPeers:
+			elsewhere = append(elsewhere, p)
+		case !p.otherZone && len(here) == 0:
+			here = append(here, p)
+		}
+	}
+	if failures == 0 || len(elsewhere) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	answers := make(chan bool, probedPeers)
-	asked := peers[:min(len(peers), probedPeers)]
-	for _, p := range asked {
-		go func() { answers <- p.alive(ctx) }()
-	}
-	answered := false
-	for range asked {
-		answered = <-answers || answered
-	}
+	zoneAnswer := make(chan bool, 1)
+	go func() { zoneAnswer <- anyAnswers(ctx, here) }()
+	answered := anyAnswers(ctx, elsewhere)
+	zoneAnswered := <-zoneAnswer
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.failedZoneProbes++
+	if zoneAnswered {
+		r.failedZoneProbes = 0
+	}
 	if answered {
 		r.failedProbes = 0
 		return
 	}
 	r.failedProbes++
 	if r.failedProbes == isolatedAfter {
-		r.Log.WithField("asked", len(asked)).WithField("failures", r.failures).Warn("relay: this host reaches neither the store nor another zone")
+		r.Log.WithFields(log.Fields{"asked": len(elsewhere), "failures": r.failures, "zoneAnswered": zoneAnswered}).Warn("relay: this host reaches neither the store nor another zone")
+	}
+}
+
+// anyAnswers reports whether any of the hosts answers a call before ctx ends.
+func anyAnswers(ctx context.Context, peers []*peer) bool {
+	answers := make(chan bool, len(peers))
+	for _, p := range peers {
+		go func() { answers <- p.alive(ctx) }()
+	}
+	answered := false
+	for range peers {
+		answered = <-answers || answered
 	}
+	return answered
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,8 +60,10 @@
 	nextDirect time.Time
 	// nextPeers is the earliest time of the next call through peers.
 	nextPeers time.Time
-	// failedProbes counts the consecutive probes that no host of another zone answered.
-	failedProbes int
+	// failedProbes counts the consecutive probes that no host of another zone answered, and
+	// failedZoneProbes those that no host of this zone answered.
+	failedProbes     int
+	failedZoneProbes int
 }
 
 var _ keyvalue.Service = (*Relay)(nil)
@@ -111,7 +113,7 @@
 		if r.failures >= relayAfterFailures {
 			r.Log.Info("relay: the store answers this host again")
 		}
-		r.failures, r.failedProbes = 0, 0
+		r.failures, r.failedProbes, r.failedZoneProbes = 0, 0, 0
 	case errkind.Invalid.Is(err):
 	default:
 		r.failures++
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -193,3 +193,49 @@
 		}
 	})
 }
+
+// zoneTransport lets the hosts of the caller's own zone be reached or not, and those of other zones not.
+type zoneTransport struct {
+	handlerTransport
+	sameZone string
+}
+
+func (z zoneTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Host != z.sameZone {
+		return nil, errors.New("no route to host")
+	}
+	return z.handlerTransport.RoundTrip(r)
+}
+
+// Guards against callers who are told to return at once although their whole zone is cut off, and against
+// callers who wait although only this host is.
+func TestHostIsAloneOnlyIfItsZoneDoesNotAnswer(t *testing.T) {
+	for _, zoneAnswers := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			refusing := &faultyStore{Service: &batchstore.Store{}}
+			refusing.refuse.Store(true)
+			sameZone, otherZone := netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+			host := newRelay(refusing, sameZone, otherZone)
+			host.InOtherZone = func(address netip.AddrPort) bool { return address == otherZone }
+			transport := zoneTransport{sameZone: sameZone.String()}
+			if zoneAnswers {
+				transport.handler = newRelay(refusing).Handler()
+			}
+			host.Client.Transport = transport
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error)
+			go func() { ended <- host.Run(ctx) }()
+			_, _ = host.Commit(t.Context(), createTxn("a"))
+			time.Sleep(time.Second)
+			if !host.Isolated() || host.Alone() == zoneAnswers {
+				t.Errorf("zone answers %t: have isolated %t, alone %t, want true, %t", zoneAnswers, host.Isolated(), host.Alone(), !zoneAnswers)
+			}
+			refusing.refuse.Store(false)
+			if _, err := host.Commit(t.Context(), createTxn("b")); err != nil || host.Alone() {
+				t.Errorf("zone answers %t: once the store answers, have %v, alone %t", zoneAnswers, err, host.Alone())
+			}
+			stop()
+			<-ended
+		})
+	}
+}
