The planner writes a digest of the load

Cause: no host knows how long a new job would wait, what each organisation uses, or what the targets can hold. Change: package load (the digest and its record), Scheduler.Load, which computes it from what waits in the order of the candidates, what runs and when that ends, and the coordinator, which writes it along with its other summaries where that is asked for: at most each 0.5 s, and only if it says something new or is 2 s old while work waits. Nothing is written while nothing waits and nothing changes. A successor takes over the largest targets ever seen. Off until a host asks for it.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/load"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
@@ -35,6 +36,8 @@
 	// speeds; nil if they are not to be written.
 	pending map[string]int32
 	speeds  map[string]float32
+	// load is the digest of the load; nil if it is not to be written.
+	load *load.Digest
 }
 
 func newBatch() batch {
@@ -77,6 +80,7 @@
 		if time.Since(speedsAt) >= speedsPeriod {
 			next.speeds, speedsAt = s.plan.LogSpeeds(), time.Now()
 		}
+		next.load = s.dueLoad(time.Now(), next.pending != nil || len(next.speeds) > 0)
 		s.mu.Unlock()
 		if err := s.writeBatch(ctx, next); err != nil {
 			return err
@@ -158,7 +162,7 @@
 	return s.writeSummaries(ctx, next)
 }
 
-// writeSummaries writes the counts of pending jobs and the speeds of a batch.
+// writeSummaries writes the counts of pending jobs, the speeds and the digest of the load of a batch.
 func (s *session) writeSummaries(ctx context.Context, next batch) error {
 	puts := []keyvalue.Put{}
 	if next.pending != nil {
@@ -175,6 +179,13 @@
 		}
 		puts = append(puts, keyvalue.Put{Key: records.SpeedsKey, Value: value})
 	}
+	if next.load != nil {
+		put, err := loadPut(next.load)
+		if err != nil {
+			return err
+		}
+		puts = append(puts, put)
+	}
 	if len(puts) == 0 {
 		return nil
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -67,8 +67,10 @@
 	// Catalogue returns the configuration in force; nil until one has been read.
 	Catalogue func() *catalogue.Catalogue
 	Limits    scheduler.Limits
-	Metrics   metrics.Registry
-	Log       log.Interface
+	// PublishLoad says that digests of the load are written for the hosts.
+	PublishLoad bool
+	Metrics     metrics.Registry
+	Log         log.Interface
 }
 
 // session is the state of one term.
@@ -114,7 +116,8 @@
 	// reportsRequested is when targets that have not reported were last looked for.
 	reportsRequested time.Time
 	// pending holds the counts of pending jobs, by queue, that were last sent to the store.
-	pending map[string]int32
+	pending     map[string]int32
+	loadDigests loadDigests
 }
 
 // Lead schedules until ctx ends or the term is lost, and returns the cause.
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -63,6 +63,10 @@
 			return err
 		}
 	}
+	formerLoad, err := s.inheritLoad(ctx)
+	if err != nil {
+		return err
+	}
 	progress, unreadable := s.decodeProgress(progressItems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,6 +76,9 @@
 		s.plan.Configure(current)
 	}
 	s.plan.InheritLogSpeeds(time.Now(), speeds.GetLogSpeeds())
+	if formerLoad != nil {
+		s.plan.InheritLoad(formerLoad)
+	}
 	for _, item := range targets {
 		s.processTarget(item)
 	}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -156,6 +156,7 @@
 		n.drainsSince = now.Add(-n.age(now, listing))
 	}
 	n.Listing, n.listed = listing, true
+	s.load.recordCapacity(listing.Service, listing.Capacity)
 	if !n.contacted && listing.Clock > n.clockLowerBound(now) {
 		n.clock, n.clockAt = listing.Clock, now
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	observations       []*observation
 	hasNewObservations bool
 	lastFit            time.Time
+	load               loadState
 }
 
 // Fields describe a decision in the log.
