Hosts keep a copy of the digest of the load

Cause: submissions are to be judged by the load, at hosts that must neither wait for a read nor judge by an old one. Change: package loadcopy reads the digest from the store's copy, in the background and at most once a second, when a submission asks for it. A digest is known only while it is under 5 s old, counted from the last read that did not show it yet, so that no clock of another host is relied on; warm; and of the highest token seen. entry runs the copy, and its planner writes digests, where a host asks for it. The coordinator's test deployment now writes digests too.

--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -172,7 +172,7 @@
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
 			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime,
 		},
-		Metrics: metrics.NewRegistry(), Log: hostLog,
+		PublishLoad: true, Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
 	election := &term.Election{
 		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) + time.Duration(d.suspended.Load()) },
--- /dev/null
+++ b/internal/coordinator/load_test.go
@@ -0,0 +1,109 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
+)
+
+// flood submits jobs that together take the capacity of the deployment for a minute.
+func (d *deployment) flood(first int) {
+	for i := range 30 {
+		job := &workload.Job{ID: fmt.Sprintf("%016x", first+i), Payload: "flood", Steps: []workload.Step{
+			{Count: 12, Estimate: 4 * time.Second, Needs: workload.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: 1}},
+		}}
+		d.fleet.ExpectJob(job)
+		call, err := d.intake.Admit("", "h", "/q1/"+job.ID, "k")
+		if err != nil {
+			d.t.Fatalf("Intake.Admit: %v", err)
+		}
+		if err := d.intake.Submit(d.t.Context(), call, job); err != nil {
+			d.t.Fatalf("Intake.Submit: %v", err)
+		}
+	}
+}
+
+// digestRevision returns the revision of the digest in the store; 0 if there is none.
+func (d *deployment) digestRevision() int64 {
+	item, err := d.store.Get(d.t.Context(), records.LoadKey)
+	if err != nil || item == nil {
+		return 0
+	}
+	return item.Revision
+}
+
+// The load: a surge beyond capacity. Guards against hosts that know of no shortage while jobs wait, against
+// digests that are written although nothing waits, and against a load that still counts as known when its planner
+// has ended without a successor.
+func TestHostsKnowTheLoadWhileAPlannerWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		known := &loadcopy.Copy{Store: d.store, Metrics: metrics.NewRegistry(), Log: d.trace.named("copy")}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- known.Run(ctx) }()
+		see := func(wait time.Duration) loadcopy.View {
+			for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				known.Get(time.Now())
+			}
+			return known.Get(time.Now())
+		}
+		time.Sleep(10 * time.Second)
+		idle := d.digestRevision()
+		time.Sleep(10 * time.Second)
+		if have := d.digestRevision(); idle == 0 || have != idle {
+			t.Errorf("revision of the digest: have %d after 10 s and %d after 20 s without jobs, want one write", idle, have)
+		}
+		d.flood(0x100)
+		view := see(6 * time.Second)
+		if view.Unknown != "" || view.Digest.Queues["q1"].ShortFor < 2*time.Second || view.Digest.Queues["q1"].ExpectedWait < 10*time.Second {
+			t.Errorf("6 s after a surge: have %+v, %q, want a lasting shortage", view.Digest, view.Unknown)
+		}
+		token := view.Digest.Token
+		d.stopHosts()
+		if view = see(6 * time.Second); view.Unknown == "" {
+			t.Errorf("6 s after the planner has ended: have %+v, %s old, want it unknown", view.Digest, view.Age)
+		}
+		for i := range d.stopHost {
+			d.startHost(i)
+		}
+		if view = see(20 * time.Second); view.Unknown != "" || view.Digest.Token <= token {
+			t.Errorf("20 s after another planner has begun: have %+v, %q, want a higher token than %d", view.Digest, view.Unknown, token)
+		}
+		stop()
+		<-ended
+		d.stopHosts()
+	})
+}
+
+// Guards against a load that counts as unknown while jobs wait and nothing changes.
+func TestDigestsAreRepeatedWhileJobsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		call, err := d.intake.Admit("", "h", "/q1/"+queueTestJob, "k")
+		if err != nil {
+			t.Fatal(err)
+		}
+		step := workload.Step{Count: 1, Needs: workload.Resources{Accelerators: 100}}
+		if err := d.intake.Submit(t.Context(), call, &workload.Job{ID: queueTestJob, Steps: []workload.Step{step}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		for range 4 {
+			before := d.digestRevision()
+			time.Sleep(3 * time.Second)
+			if d.digestRevision() == before {
+				t.Error("no digest was written for 3 s while a job waits")
+			}
+		}
+		d.stopHosts()
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
@@ -67,6 +68,9 @@
 	Roster *roster.Roster
 	// Relay, if set, runs with this host. IsReady asks it whether the host is cut off.
 	Relay *relay.Relay
+	// Load, if set, runs with this host and keeps its copy of the digest of the load. This host then
+	// writes such digests while it plans.
+	Load *loadcopy.Copy
 	// Intake handles the calls that the callers' handler receives.
 	Intake   *intake.Intake
 	Registry metrics.Registry
@@ -125,6 +129,9 @@
 	if e.Relay != nil {
 		loops = append(loops, background.Loop{Name: "relay", Run: e.Relay.Run})
 	}
+	if e.Load != nil {
+		loops = append(loops, background.Loop{Name: "load", Run: e.Load.Run})
+	}
 	ends := background.Start(loopContext, loops...)
 	planning := background.Start(ctx, background.Loop{Name: "term", Run: e.newElection().Run})
 	select {
@@ -149,6 +156,7 @@
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
 		Catalogue: e.Catalogue, Limits: e.Settings.limits(), Metrics: e.Registry, Log: e.Log,
+		PublishLoad: e.Load != nil,
 	}
 	return &term.Election{Store: e.Store, Name: e.Settings.Name, Delay: e.Settings.delay(), Elapsed: elapsed, Lead: planner.Lead, Log: e.Log}
 }
