Submissions are refused by load where a host asks for it

Cause: a job that fits no target, or that can't end while it is worth anything, was stored and took part in all decisions; one organisation's flood delayed all others. Change: package overload decides by the digest (pure, with x/time/rate for each organisation and queue); intake answers 429 with a time to return, logs what the decision rests on, and logs when the load becomes known or unknown. A refusal promises that the job does not run, so intake first reads the ID; a stored one is accepted, and nothing is refused while the ID can't be read, for 30 s after a write of it was left unanswered here or after this host's calls to the store failed. refuseByLoad is off by default; maxDigestAge is checked. The tests fail without the read, the two rules for unanswered writes, the lasting shortage, the guarantee, the limit by queue and by host. Ruled out: a mark that cancels a refused ID, a write for each refusal, which would cancel the caller's next attempt.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -15,6 +15,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/entry"
 	"github.com/eelgrasstide/eelgrasstide/internal/hangup"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
 	"github.com/eelgrasstide/eelgrasstide/internal/logsink"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
@@ -87,6 +88,11 @@
 		Store: e.Store, Catalogue: e.Catalogue, StoreFailing: relayedStore.Failing, Alone: relayedStore.Alone, Metrics: registry, Log: log.Log,
 		Backoff: backoff.Backoff{Min: own.Admission.MinRetryAfter.AsDuration(), Max: own.Admission.MaxRetryAfter.AsDuration()},
 	}
+	if own.Admission.GetRefuseByLoad() {
+		e.Load = &loadcopy.Copy{Store: e.Store, MaxAge: own.Admission.MaxDigestAge.AsDuration(), Metrics: registry, Log: log.Log}
+		e.Intake.Load, e.Intake.StoreFailedAt = e.Load, relayedStore.FailedAt
+		e.Intake.Hosts = func() int { return 1 + len(hostRoster.Peers()) }
+	}
 	e.Callers = entry.Listener{Address: host.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
 	e.Ready = entry.Listener{Address: host.Ready, Handler: readinessHandler(e)}
 	hostMux := http.NewServeMux()
--- a/internal/coordinator/load_test.go
+++ b/internal/coordinator/load_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
@@ -107,3 +108,56 @@
 		d.stopHosts()
 	})
 }
+
+// The load: a surge beyond capacity. Guards against refused jobs that run, against accepted ones that get lost, and
+// against refusals of jobs that can end in time or that may stop others.
+func TestSurgeIsRefusedInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		known := &loadcopy.Copy{Store: d.store, Metrics: metrics.NewRegistry(), Log: d.trace.named("copy")}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- known.Run(ctx) }()
+		d.intake.Load = known
+		submit := func(id, queue string, estimate time.Duration, accelerators int64) error {
+			job := &workload.Job{ID: id, Payload: id, Steps: []workload.Step{{Count: 1, Estimate: estimate, Needs: workload.Resources{MilliCores: 1000, Accelerators: accelerators}}}}
+			d.fleet.ExpectJob(job)
+			call, err := d.intake.Admit("", "h", "/"+queue+"/"+id, "k")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err = d.intake.Submit(t.Context(), call, job); err != nil {
+				d.fleet.ExpectJob(&workload.Job{ID: id, Payload: "refused"})
+				return err
+			}
+			d.accepted[id] = job
+			return nil
+		}
+		time.Sleep(5 * time.Second)
+		d.flood(0x100)
+		refused := 0
+		for i := range 12 {
+			time.Sleep(500 * time.Millisecond)
+			if err := submit(fmt.Sprintf("%016x", 0x200+i), "q1", time.Second, 1); errkind.Overloaded.Is(err) {
+				refused++
+			}
+		}
+		if refused < 4 || refused > 10 {
+			t.Errorf("%d of 12 short jobs refused, want those after the shortage has lasted", refused)
+		}
+		if err := submit("0000000000000300", "q1", time.Minute, 1); err != nil {
+			t.Errorf("a job that can end in time: have %v", err)
+		}
+		if err := submit("0000000000000301", "q0", time.Second, 1); err != nil {
+			t.Errorf("a job of priority 0: have %v", err)
+		}
+		if err := submit("0000000000000302", "q0", time.Minute, 5); !errkind.Overloaded.Is(err) {
+			t.Errorf("a job that fits no target: have %v, want it refused", err)
+		}
+		stop()
+		<-ended
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -28,6 +28,8 @@
 	Conflict = newKind("conflict", http.StatusConflict)
 	// Unavailable marks a call that is known to have had no effect.
 	Unavailable = newKind("unavailable", http.StatusServiceUnavailable)
+	// Overloaded marks a call that is refused because of the load, and is known to have had no effect.
+	Overloaded = newKind("overloaded", http.StatusTooManyRequests)
 	// Ambiguous marks a call that may have taken effect.
 	Ambiguous = newKind("ambiguous", http.StatusBadGateway)
 	// Fenced marks a call by a former owner that another one has replaced.
--- a/internal/intake/breaker.go
+++ b/internal/intake/breaker.go
@@ -92,6 +92,13 @@
 	return changed
 }
 
+// failedAt returns when a trial or a write last failed.
+func (b *breaker) failedAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failed
+}
+
 // enter waits until the breaker lets a call write, and reports whether the call has to try the store
 // first. The error is Unavailable.
 func (i *Intake) enter(ctx context.Context) (trial bool, err error) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,8 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
+	"github.com/eelgrasstide/eelgrasstide/internal/overload"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -55,7 +57,16 @@
 	Metrics metrics.Registry
 	Log     log.Interface
 
-	breaker breaker
+	// Load, if set, is what this host knows of the load. Submissions are then refused by load.
+	Load *loadcopy.Copy
+	// StoreFailedAt, if set, returns when the host's own calls to the store last failed.
+	StoreFailedAt func() time.Time
+	// Hosts, if set, returns the number of hosts that take submissions.
+	Hosts func() int
+
+	breaker    breaker
+	policy     overload.Policy
+	lateWrites lateWrites
 }
 
 // Call is a caller's request that Admit has authorised.
@@ -112,7 +123,7 @@
 }
 
 // Submit writes a job to the store. A job with a known ID is accepted again, with no effect.
-// Errors are Invalid for a job that fails validation, Unavailable if the job was not
+// Errors are Invalid for a job that fails validation, Overloaded or Unavailable if the job was not
 // written, and Ambiguous if it may have been.
 func (i *Intake) Submit(ctx context.Context, call Call, job *workload.Job) error {
 	ctx, cancel := i.bound(ctx, call)
@@ -122,6 +133,9 @@
 	if err := job.Validate(); err != nil {
 		return i.reject(call, err)
 	}
+	if fields, refusal := i.refusalByLoad(ctx, start, call, job); refusal != nil {
+		return i.reject(call, refusal, fields)
+	}
 	value, err := records.Encode(job.Record())
 	if err != nil {
 		return i.reject(call, err)
@@ -172,6 +186,7 @@
 				i.recordWrite(start, false)
 			}
 			if ambiguous {
+				i.lateWrites.add(time.Now(), key)
 				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
 			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect before the time limit: %v", err)
@@ -268,15 +283,18 @@
 
 // reject counts and logs a refused call, and returns err, with the delay for the caller if the call may
 // succeed later.
-func (i *Intake) reject(call Call, err error) error {
+func (i *Intake) reject(call Call, err error, more ...log.Fields) error {
 	metrics.GetOrRegisterCounter("intake.refused."+errkind.NameOf(err), i.Metrics).Inc(1)
 	entry := i.Log.WithFields(i.fields(call)).WithField("kind", errkind.NameOf(err)).WithField("cause", errkind.Message(err))
-	if errkind.Unavailable.Is(err) {
-		delay, ok := backoff.Of(err)
-		if !ok {
-			delay = i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()})
-			err = backoff.Attach(err, delay)
-		}
+	for _, fields := range more {
+		entry = entry.WithFields(fields)
+	}
+	delay, ok := backoff.Of(err)
+	if !ok && errkind.Unavailable.Is(err) {
+		delay, ok = i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()}), true
+		err = backoff.Attach(err, delay)
+	}
+	if ok {
 		entry = entry.WithField("returnAfter", delay.Exact)
 	}
 	entry.Info("intake: call refused")
--- a/internal/loadcopy/copy.go
+++ b/internal/loadcopy/copy.go
@@ -43,6 +43,8 @@
 	readSent time.Time
 	// tried is when the last read was sent.
 	tried time.Time
+	// unknown is what the last view said.
+	unknown string
 }
 
 // View is a digest with its age.
@@ -79,6 +81,14 @@
 	case !c.digest.Warm:
 		view.Unknown = "most targets have not reported to the planner yet"
 	}
+	if view.Unknown != c.unknown {
+		c.unknown = view.Unknown
+		fields := log.Fields{"known": view.Unknown == "", "cause": view.Unknown, "age": view.Age}
+		if c.digest != nil {
+			fields["token"], fields["digest"] = c.digest.Token, c.digest.Number
+		}
+		c.Log.WithFields(fields).Info("load: whether the load is known has changed")
+	}
 	return view
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,8 @@
 	mu sync.Mutex
 	// failures counts the consecutive failures of direct calls.
 	failures int
+	// failedAt is when a direct call last failed while calls went through other hosts.
+	failedAt time.Time
 	// nextDirect is the earliest time of the next direct call while direct calls fail.
 	nextDirect time.Time
 	// nextPeers is the earliest time of the next call through peers.
@@ -76,6 +78,14 @@
 	return r.failures >= relayAfterFailures
 }
 
+// FailedAt returns when direct calls to the store last failed so that calls went through other hosts; zero
+// if they never did.
+func (r *Relay) FailedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedAt
+}
+
 // tryDirect reports whether the next call goes directly to the store. While direct calls
 // fail, that is one call per directRetryPeriod.
 func (r *Relay) tryDirect(now time.Time) bool {
@@ -117,6 +127,9 @@
 	case errkind.Invalid.Is(err):
 	default:
 		r.failures++
+		if r.failures >= relayAfterFailures {
+			r.failedAt = time.Now()
+		}
 		if r.failures == relayAfterFailures {
 			r.nextDirect = time.Now().Add(directRetryPeriod)
 			r.Log.WithError(err).Warn("relay: the store does not answer this host; its calls go through others")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -180,6 +180,9 @@
 		for range 2 {
 			_, _ = r.Commit(t.Context(), createTxn("a"))
 		}
+		if since := time.Since(r.FailedAt()); since != 0 {
+			t.Errorf("FailedAt just after a failure: have %s ago", since)
+		}
 		if _, err := r.Get(t.Context(), "a"); !errkind.Unavailable.Is(err) {
 			t.Errorf("Get just after a failure: have %v, want an unavailable error", err)
 		}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -188,7 +188,7 @@
 	needs := map[string]int64{}
 	for _, j := range s.open {
 		if j.terms.Priority == 0 {
-			needs[j.Organisation] += j.maxAccelerators()
+			needs[j.Organisation] += j.MaxAccelerators()
 		}
 	}
 	out := map[string]bool{}
@@ -198,16 +198,6 @@
 	return out
 }
 
-// maxAccelerators returns the largest number of accelerators that any one step of the job
-// needs.
-func (j *job) maxAccelerators() int64 {
-	most := int64(0)
-	for i := range j.Steps {
-		most = max(most, int64(j.Steps[i].Count)*j.Steps[i].Needs.Accelerators)
-	}
-	return most
-}
-
 // score returns the credit that the job can still earn per target-second that it still needs.
 // It sets the candidate's worth and slack.
 func (s *Scheduler) score(now time.Time, c *candidate) float64 {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -109,7 +109,7 @@
 	for _, j := range s.open {
 		organisation := d.Organisations[j.Organisation]
 		if j.terms.Priority == 0 {
-			organisation.UrgentAccelerators += j.maxAccelerators()
+			organisation.UrgentAccelerators += j.MaxAccelerators()
 		}
 		work := 0.0
 		for _, o := range j.occurrences {
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -2,13 +2,19 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/backoff"
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
+// minDigestAge is the least age from which a digest of the load may count as unknown. It leaves time for a
+// host to read each of the planner's digests, which are up to 2 s apart.
+const minDigestAge = 3 * time.Second
+
 // Front holds the product's own settings of a host on the platform, besides those that the platform sets.
 type Front struct {
 	*wire.FrontSettings
@@ -48,6 +54,7 @@
 	}
 	setDuration(&f.Admission.MinRetryAfter, backoff.DefaultMin)
 	setDuration(&f.Admission.MaxRetryAfter, backoff.DefaultMax)
+	setDuration(&f.Admission.MaxDigestAge, loadcopy.DefaultMaxAge)
 	if f.Ingress == nil {
 		f.Ingress = &wire.IngressSettings{}
 	}
@@ -68,4 +75,7 @@
 	if longest < shortest {
 		f.decoder.Report("admission.maxRetryAfter", "set it to at least minRetryAfter", "%s is below minRetryAfter, %s", longest, shortest)
 	}
+	if age := f.Admission.MaxDigestAge.AsDuration(); age < minDigestAge {
+		f.decoder.Report("admission.maxDigestAge", "use a duration of at least "+minDigestAge.String(), "%s is below %s; the planner writes a digest each 2 s while jobs wait", age, minDigestAge)
+	}
 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -111,6 +111,28 @@
 	return j.FirstDue.Add(time.Duration(occurrence) * j.Interval)
 }
 
+// MaxAccelerators returns the largest number of accelerators that any one step of the job needs.
+func (j *Job) MaxAccelerators() int64 {
+	most := int64(0)
+	for i := range j.Steps {
+		most = max(most, int64(j.Steps[i].Count)*j.Steps[i].Needs.Accelerators)
+	}
+	return most
+}
+
+// CriticalPath returns the length of the longest chain of dependent steps, by the caller's estimates.
+func (j *Job) CriticalPath() time.Duration {
+	longest, ends := time.Duration(0), make([]time.Duration, len(j.Steps))
+	for i := range j.Steps {
+		for _, earlier := range j.Steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += j.Steps[i].EstimatedDuration()
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // Validate returns an Invalid error for the first invalid value in a submitted job.
 func (j *Job) Validate() error {
 	if len(j.Payload) > MaxPayloadBytes {
