--- a/internal/coordinator/load_test.go
+++ b/internal/coordinator/load_test.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// copyLoad runs a host's copy of the load, until the returned function is called.
+func (d *deployment) copyLoad() (*loadcopy.Copy, func()) {
+	known := &loadcopy.Copy{Store: d.store, Metrics: metrics.NewRegistry(), Log: d.trace.named("copy")}
+	ctx, cancel := context.WithCancel(d.t.Context())
+	ended := make(chan error)
+	go func() { ended <- known.Run(ctx) }()
+	return known, func() { cancel(); <-ended }
+}
+
 // digestRevision returns the revision of the digest in the store; 0 if there is none.
 func (d *deployment) digestRevision() int64 {
 	item, err := d.store.Get(d.t.Context(), records.LoadKey)
@@ -47,10 +56,7 @@
 func TestHostsKnowTheLoadWhileAPlannerWrites(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 1)
-		known := &loadcopy.Copy{Store: d.store, Metrics: metrics.NewRegistry(), Log: d.trace.named("copy")}
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error)
-		go func() { ended <- known.Run(ctx) }()
+		known, stop := d.copyLoad()
 		see := func(wait time.Duration) loadcopy.View {
 			for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 				known.Get(time.Now())
@@ -80,7 +86,6 @@
 			t.Errorf("20 s after another planner has begun: have %+v, %q, want a higher token than %d", view.Digest, view.Unknown, token)
 		}
 		stop()
-		<-ended
 		d.stopHosts()
 	})
 }
@@ -114,10 +119,7 @@
 func TestSurgeIsRefusedInPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 1)
-		known := &loadcopy.Copy{Store: d.store, Metrics: metrics.NewRegistry(), Log: d.trace.named("copy")}
-		ctx, stop := context.WithCancel(t.Context())
-		ended := make(chan error)
-		go func() { ended <- known.Run(ctx) }()
+		known, stop := d.copyLoad()
 		d.intake.Load = known
 		submit := func(id, queue string, estimate time.Duration, accelerators int64) error {
 			job := &workload.Job{ID: id, Payload: id, Steps: []workload.Step{{Count: 1, Estimate: estimate, Needs: workload.Resources{MilliCores: 1000, Accelerators: accelerators}}}}
@@ -155,7 +157,6 @@
 			t.Errorf("a job that fits no target: have %v, want it refused", err)
 		}
 		stop()
-		<-ended
 		for _, violation := range d.recoverAndCheck() {
 			t.Error(violation)
 		}
