--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -70,8 +70,10 @@
 	// Cordons returns what is known of the cordons, never nil.
 	Cordons func() *cordon.Set
 	Limits  scheduler.Limits
-	Metrics metrics.Registry
-	Log     log.Interface
+	// PublishLoad says that digests of the load are written for the hosts.
+	PublishLoad bool
+	Metrics     metrics.Registry
+	Log         log.Interface
 }
 
 // session is the state of one term.
@@ -117,7 +119,8 @@
 	// reportsRequested is when targets that have not reported were last looked for.
 	reportsRequested time.Time
 	// pending holds the counts of pending jobs, by queue, that were last sent to the store.
-	pending map[string]int32
+	pending     map[string]int32
+	loadDigests loadDigests
 }
 
 // Lead schedules until ctx ends or the term is lost, and returns the cause.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -14,6 +14,8 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
+	"github.com/eelgrasstide/eelgrasstide/internal/overload"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -47,12 +49,24 @@
 	// StoreFailing, if set, reports whether the host's own calls to the store fail. Writes then begin with
 	// a read.
 	StoreFailing func() bool
+	// Alone, if set, reports whether this host is cut off from everything else while other hosts are not.
+	// All calls are then refused at once.
+	Alone func() bool
 	// Backoff chooses when refused callers return.
 	Backoff backoff.Backoff
 	Metrics metrics.Registry
 	Log     log.Interface
 
-	breaker breaker
+	// Load, if set, is what this host knows of the load. Submissions are then refused by load.
+	Load *loadcopy.Copy
+	// StoreFailedAt, if set, returns when the host's own calls to the store last failed.
+	StoreFailedAt func() time.Time
+	// Hosts, if set, returns the number of hosts that take submissions.
+	Hosts func() int
+
+	breaker    breaker
+	policy     overload.Policy
+	lateWrites lateWrites
 }
 
 // Call is a caller's request that Admit has authorised.
@@ -75,8 +89,8 @@
 }
 
 // Admit finds the queue for the host and path of a call and checks the caller's API key.
-// Errors are Unavailable before a configuration has been read, NotFound for an unknown
-// queue or a malformed job ID, and Denied for an unknown key unless the queue is public.
+// Errors are Unavailable before a configuration has been read and while this host alone is cut off,
+// NotFound for an unknown queue or a malformed job ID, and Denied for an unknown key unless the queue is public.
 func (i *Intake) Admit(request, host, path, key string) (Call, error) {
 	current := i.Catalogue()
 	if current == nil {
@@ -97,6 +111,10 @@
 	if call.ID != "" && !validID(call.ID) {
 		return Call{}, i.reject(call, errkind.NotFound.New("use the 16 hexadecimal digits of the job's ID", "Intake.Admit: got job ID %q, want 16 hexadecimal digits", call.ID))
 	}
+	if i.Alone != nil && i.Alone() {
+		err := errkind.Unavailable.New("send the call again at once; another host will answer it", "Intake.Admit: this host reaches neither the platform's store nor any other host")
+		return Call{}, i.reject(call, backoff.Attach(err, i.Backoff.After(backoff.Refusal{ID: call.ID, Elsewhere: true})))
+	}
 	return call, nil
 }
 
@@ -105,7 +123,7 @@
 }
 
 // Submit writes a job to the store. A job with a known ID is accepted again, with no effect.
-// Errors are Invalid for a job that fails validation, Unavailable if the job was not
+// Errors are Invalid for a job that fails validation, Overloaded or Unavailable if the job was not
 // written, and Ambiguous if it may have been.
 func (i *Intake) Submit(ctx context.Context, call Call, job *workload.Job) error {
 	ctx, cancel := i.bound(ctx, call)
@@ -115,6 +133,9 @@
 	if err := job.Validate(); err != nil {
 		return i.reject(call, err)
 	}
+	if fields, refusal := i.refusalByLoad(ctx, start, call, job); refusal != nil {
+		return i.reject(call, refusal, fields)
+	}
 	value, err := records.Encode(job.Record())
 	if err != nil {
 		return i.reject(call, err)
@@ -165,6 +186,7 @@
 				i.recordWrite(start, false)
 			}
 			if ambiguous {
+				i.lateWrites.add(time.Now(), key)
 				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
 			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect before the time limit: %v", err)
@@ -261,12 +283,18 @@
 
 // reject counts and logs a refused call, and returns err, with the delay for the caller if the call may
 // succeed later.
-func (i *Intake) reject(call Call, err error) error {
+func (i *Intake) reject(call Call, err error, more ...log.Fields) error {
 	metrics.GetOrRegisterCounter("intake.refused."+errkind.NameOf(err), i.Metrics).Inc(1)
 	entry := i.Log.WithFields(i.fields(call)).WithField("kind", errkind.NameOf(err)).WithField("cause", errkind.Message(err))
-	if errkind.Unavailable.Is(err) {
-		delay := i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()})
+	for _, fields := range more {
+		entry = entry.WithFields(fields)
+	}
+	delay, ok := backoff.Of(err)
+	if !ok && errkind.Unavailable.Is(err) {
+		delay, ok = i.Backoff.After(backoff.Refusal{ID: call.ID, Priority: call.Terms.Priority, Left: call.left()}), true
 		err = backoff.Attach(err, delay)
+	}
+	if ok {
 		entry = entry.WithField("returnAfter", delay.Exact)
 	}
 	entry.Info("intake: call refused")
