Targets that leave an order unanswered get no new start until they accept a later one

Cause: a target that began to reset or drop connections got starts until a renewal had been unanswered for 1.4 s, and an idle one was not renewed at all, so that its silence was found out with a start. Change: the planner takes a target for suspect from the first unanswered order until it accepts one that was sent after that was known; starts that were not sent yet are withdrawn, repeats of sent ones go on.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -45,7 +45,10 @@
 	leftOut int
 	// unanswered says that the last renewal was not answered. Only the goroutine that renews
 	// uses it.
-	unanswered  bool
+	unanswered bool
+	// nextCheck is how long the target needs no renewal, as the last call of nextRenewal found. Only the
+	// goroutine that renews uses it.
+	nextCheck   time.Duration
 	renewSignal chan struct{}
 	orderSignal chan struct{}
 
@@ -119,7 +122,7 @@
 			if a.removeIfUnused() {
 				return errTargetRemoved
 			}
-			wait(ctx, a.renewSignal, idleCheckPeriod)
+			wait(ctx, a.renewSignal, a.nextCheck)
 			continue
 		}
 		if !a.session.maySendOrders() {
@@ -127,6 +130,7 @@
 		}
 		report, reply := a.session.Targets.Renew(ctx, to, order)
 		a.unanswered = reply.Answer != target.Accepted
+		a.session.orderAnswered(a.targetID, sent, reply.Answer)
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
 		case target.Accepted:
@@ -148,6 +152,17 @@
 	return context.Cause(ctx)
 }
 
+// orderAnswered passes the answer to a renewal to the scheduler, and lets it decide anew if that changes
+// where it may start work.
+func (s *session) orderAnswered(targetID string, sent time.Time, answer target.Answer) {
+	s.mu.Lock()
+	changed := s.plan.OrderAnswered(time.Now(), targetID, sent, answer)
+	s.mu.Unlock()
+	if changed {
+		s.requestStep()
+	}
+}
+
 // logEnd logs that the agent sends nothing more, and how many orders it leaves.
 func (a *agent) logEnd(cause error) {
 	a.mu.Lock()
@@ -176,7 +191,12 @@
 	defer s.mu.Unlock()
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
 	acknowledged := a.durableIn(status.Listing.Born)
-	if !status.Listing.Address.IsValid() || (!status.HasRuns && !status.NeedsReport && acknowledged == a.delivered) {
+	due := status.HasRuns || status.NeedsReport || acknowledged != a.delivered || (status.Idle && status.IdleRenewalIn == 0)
+	if !status.Listing.Address.IsValid() || !due {
+		a.nextCheck = idleCheckPeriod
+		if status.Idle && !due {
+			a.nextCheck = min(idleCheckPeriod, status.IdleRenewalIn)
+		}
 		return target.RenewOrder{}, target.Listing{}, false
 	}
 	s.plan.RenewalSent(time.Now(), a.targetID)
@@ -226,6 +246,9 @@
 	} else {
 		a.leftOut = 0
 	}
+	// A report of a target without work that has nothing new to tell calls for no decision.
+	before := s.plan.TargetStatus(time.Now(), a.targetID)
+	quiet := !before.HasRuns && !before.NeedsReport && len(report.Running)+len(report.Ended) == 0 && report.Born == before.Listing.Born
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
 	after := s.plan.TargetStatus(time.Now(), a.targetID)
 	if report.Born == 0 || report.Born == after.Listing.Born {
@@ -233,6 +256,8 @@
 	}
 	waiting := after.LastEnd > a.durableIn(after.Listing.Born)
 	s.mu.Unlock()
-	s.requestStep()
+	if !quiet {
+		s.requestStep()
+	}
 	return waiting
 }
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -60,6 +60,7 @@
 	reply := s.Targets.Stop(ctx, to, stop.Run, s.currentTerm.Token)
 	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
 	s.mu.Lock()
+	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
 	s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
 	s.mu.Unlock()
 	a.retryStop(ctx, stop)
@@ -90,13 +91,15 @@
 		return
 	}
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
-	if status.Unresponsive {
+	if status.Suspect || status.Unresponsive {
 		wanted := s.plan.StartHeldBack(time.Now(), start)
-		s.mu.Unlock()
-		if wanted {
-			a.holdBack(ctx, start, "the target leaves renewals unanswered")
+		if !wanted || status.Unresponsive {
+			s.mu.Unlock()
+			if wanted {
+				a.holdBack(ctx, start, "the target leaves renewals unanswered")
+			}
+			return
 		}
-		return
 	}
 	if status.TakesNoStarts {
 		s.plan.StartWithdrawn(time.Now(), start)
@@ -118,6 +121,7 @@
 	reply := s.Targets.Start(ctx, to, order)
 	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
 	s.mu.Lock()
+	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
 	s.plan.StartAnswered(time.Now(), start, reply)
 	s.mu.Unlock()
 	if reply.Answer == target.Unanswered {
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -66,6 +66,10 @@
 	// renewalSentAt is when the first renewal after lastContact was sent. The target has not
 	// answered it yet if this is later than lastContact.
 	renewalSentAt time.Time
+	// suspect says that the target left an order unanswered and has accepted none that was sent after
+	// unansweredAt, when the last such order was known to be unanswered. It is so since suspectSince.
+	suspect                    bool
+	suspectSince, unansweredAt time.Time
 	// lastEnd is the number of the last ended run that was processed.
 	lastEnd int64
 	// used is the capacity that members take up; members holds the tasks that may be alive here.
@@ -306,7 +310,7 @@
 	Listing target.Listing
 	// HasRuns says that runs may be alive there, whose leases have to be renewed.
 	HasRuns bool
-	// NeedsReport says that the target has not reported to this planner yet, or is
+	// NeedsReport says that the target has not reported to this planner yet, or is suspect or
 	// unresponsive.
 	NeedsReport bool
 	// Removed says that the target is neither listed nor able to run anything.
@@ -316,6 +320,11 @@
 	// Unresponsive says that the target has left a renewal unanswered for longer than
 	// unresponsiveAfter.
 	Unresponsive bool
+	// Suspect says that the target has left an order unanswered and accepted none since.
+	Suspect bool
+	// IdleRenewalIn is the time until a target without runs has to be renewed; Idle says that it has.
+	IdleRenewalIn time.Duration
+	Idle          bool
 	// TakesNoStarts says that the target drains and that a start may arrive there too late.
 	TakesNoStarts bool
 }
@@ -326,18 +335,24 @@
 	if n == nil {
 		return TargetStatus{Removed: true}
 	}
-	return TargetStatus{
-		Listing: n.Listing, HasRuns: len(n.members)+len(n.unknownStops) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: n.removed(),
-		Unresponsive: n.unresponsive(now), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
+	status := TargetStatus{
+		Listing: n.Listing, HasRuns: len(n.members)+len(n.unknownStops) > 0, NeedsReport: n.needsReport(now), LastEnd: n.lastEnd, Removed: n.removed(),
+		Unresponsive: n.unresponsive(now), Suspect: n.suspect, TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
 	}
+	status.IdleRenewalIn, status.Idle = n.idleRenewalIn(now)
+	return status
 }
 
-// SilentTargets returns the IDs of the targets that have not reported to this planner yet or are
-// unresponsive, in order.
+// needsReport reports whether the target has not reported to this planner yet, or is suspect or
+// unresponsive.
+func (n *node) needsReport(now time.Time) bool { return !n.contacted || n.suspect || n.unresponsive(now) }
+
+// SilentTargets returns the IDs of the targets that have not reported to this planner yet, or are
+// suspect or unresponsive, in order.
 func (s *Scheduler) SilentTargets(now time.Time) []string {
 	var out []string
 	for _, n := range s.ordered {
-		if !n.contacted || n.unresponsive(now) {
+		if n.needsReport(now) {
 			out = append(out, n.ID)
 		}
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -281,17 +281,17 @@
 	return true
 }
 
-// StartHeldBack handles a start that is not sent because its target is unresponsive. A start that
-// was never sent is withdrawn, so that its task can start elsewhere at once. It reports whether
-// the start is still wanted.
+// StartHeldBack handles a start whose target is suspect or unresponsive. A start that was never sent is
+// withdrawn, so that its task can start elsewhere at once. It reports whether the start is still wanted:
+// one that was sent before may be repeated.
 func (s *Scheduler) StartHeldBack(now time.Time, start Start) bool {
 	m := s.wantedStart(start)
 	if m == nil {
 		return false
 	}
 	if m.state == memberAwaitingWrite {
-		s.logClosed(now, m, "its target left renewals unanswered before its start was sent")
-		s.close(now, m, "its target left renewals unanswered before its start was sent")
+		s.logClosed(now, m, "its target left orders unanswered before its start was sent")
+		s.close(now, m, "its target left orders unanswered before its start was sent")
 		return false
 	}
 	return true
