An order for which no connection could be opened counts as not sent

Cause: a start to a target that refuses connections was treated as one that may be carried out later, so its task, and its gang, waited until the target was back and had accepted a stop, or its leases had ended.

--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/standin/batchtarget"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
@@ -33,8 +34,8 @@
 	stepKinds = 14
 	// variantStep is the first step that performs the harder variant of its kind.
 	variantStep = 10 * stepKinds
-	// setBackStep is the first step in which a restarted target's time of day is set back, and in which
-	// a caller leaves and cancels.
+	// setBackStep is the first step in which a restarted target's time of day is set back, a caller leaves
+	// and cancels, and a target's connections are refused or reset.
 	setBackStep = 16 * stepKinds
 )
 
@@ -119,6 +120,10 @@
 	case 8:
 		d.store.LoseAnswers(1+d.random.IntN(3), time.Duration(d.random.IntN(3))*time.Second)
 	case 9:
+		if id := targetID(targetIndex); step >= setBackStep {
+			d.fleet.SetConnections(id, batchtarget.Connections(d.random.IntN(int(batchtarget.Reset)+1)))
+			break
+		}
 		if id := targetID(targetIndex); step >= variantStep {
 			d.fleet.SetMuted(id, !d.fleet.Muted(id))
 			break
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -254,6 +254,7 @@
 	d.store.LoseAnswers(0, 0)
 	for i := range targetCount {
 		d.fleet.SetMuted(targetID(i), false)
+		d.fleet.SetConnections(targetID(i), batchtarget.Open)
 		if d.unlisted[i] {
 			d.list(i)
 		}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -137,7 +137,7 @@
 	if reply.Answer == target.Fenced {
 		a.session.cancel(errFenced)
 	}
-	if reply.Answer == target.Accepted || (kind == "start" && reply.Answer != target.Unanswered) {
+	if reply.Answer == target.Accepted || (kind == "start" && reply.Answer.Arrived()) {
 		a.session.Log.WithFields(fields).WithField("target", a.targetID).Info("coordinator: a " + kind + " was answered")
 	}
 	if reply.Answer != target.Accepted {
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -25,7 +25,7 @@
 	}
 	before := n.suspect
 	switch answer {
-	case target.Unanswered:
+	case target.Unanswered, target.Unreached:
 		if !n.suspect {
 			s.log("target suspect", n.fields(now).with(Fields{"sent": now.Sub(sent), "runs": len(n.members)}))
 			n.suspect, n.suspectSince = true, now
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -54,6 +54,8 @@
 	mu sync.Mutex
 	// muted holds the IDs of the targets whose answers are lost.
 	muted map[string]bool
+	// connections holds the targets whose connections fail.
+	connections map[string]Connections
 	// latencies is the source of the calls' delays. Timers for the same instant fire in random
 	// order, so the delays differ.
 	latencies *rand.Rand
@@ -80,7 +82,7 @@
 	if f.targets == nil {
 		f.targets, f.jobs, f.cancelled = map[string]*incarnation{}, map[string]*workload.Job{}, map[string]time.Time{}
 		f.done, f.failures, f.started = map[target.Task]bool{}, map[target.Task]int{}, map[target.Task]int{}
-		f.muted = map[string]bool{}
+		f.muted, f.connections = map[string]bool{}, map[string]Connections{}
 		f.acknowledged, f.latencies = map[target.Task]bool{}, rand.New(rand.NewPCG(latencySeed, latencySeed))
 	}
 	f.event("target begins", log.Fields{"target": listing.ID, "born": listing.Born})
@@ -154,9 +156,9 @@
 
 // Start implements target.Targets.
 func (f *Fleet) Start(ctx context.Context, to target.Listing, order target.StartOrder) target.Reply {
-	t := f.reach(ctx, to)
+	t, failure := f.reach(ctx, to)
 	if t == nil {
-		return target.Reply{Answer: target.Unanswered}
+		return target.Reply{Answer: failure}
 	}
 	f.lastStart = time.Now()
 	if t.lateOrders > 0 {
@@ -197,9 +199,9 @@
 
 // Stop implements target.Targets. A run that was not started can't be started after it.
 func (f *Fleet) Stop(ctx context.Context, to target.Listing, stop target.Run, token int64) target.Reply {
-	t := f.reach(ctx, to)
+	t, failure := f.reach(ctx, to)
 	if t == nil {
-		return target.Reply{Answer: target.Unanswered}
+		return target.Reply{Answer: failure}
 	}
 	if t.lateOrders > 0 {
 		t.lateOrders--
@@ -226,9 +228,9 @@
 
 // Renew implements target.Targets.
 func (f *Fleet) Renew(ctx context.Context, to target.Listing, order target.RenewOrder) (target.Report, target.Reply) {
-	t := f.reach(ctx, to)
+	t, failure := f.reach(ctx, to)
 	if t == nil {
-		return target.Report{}, target.Reply{Answer: target.Unanswered}
+		return target.Report{}, target.Reply{Answer: failure}
 	}
 	if t.lateRenewals > 0 {
 		t.lateRenewals--
--- a/internal/standin/batchtarget/faults.go
+++ b/internal/standin/batchtarget/faults.go
@@ -49,25 +49,54 @@
 	f.targets[id].lateRenewals = count
 }
 
-// reach returns a target with mu locked. If the target is unreachable, it blocks for callTimeout
-// and returns nil without the lock, as it does when ctx ends.
-func (f *Fleet) reach(ctx context.Context, to target.Listing) *incarnation {
+// Connections says what becomes of the connections to a target.
+type Connections int
+
+// What may become of connections.
+const (
+	Open Connections = iota
+	// Refused means that none can be opened.
+	Refused
+	// Reset means that each is reset, before or after the order is carried out.
+	Reset
+)
+
+// SetConnections sets what becomes of the connections to a target, also after a restart.
+func (f *Fleet) SetConnections(id string, connections Connections) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.event("target connections", log.Fields{"target": id, "connections": int(connections)})
+	f.connections[id] = connections
+}
+
+// reach returns a target with mu locked. If the target can't be reached, it returns nil without the lock
+// and the answer that the caller has: at once if connections fail, and otherwise after callTimeout or
+// when ctx ends.
+func (f *Fleet) reach(ctx context.Context, to target.Listing) (*incarnation, target.Answer) {
 	timer := time.NewTimer(f.latency())
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return nil
+		return nil, target.Unanswered
 	case <-timer.C:
 	}
 	f.mu.Lock()
-	t := f.targets[to.ID]
+	t, connections := f.targets[to.ID], f.connections[to.ID]
+	if connections == Refused {
+		f.mu.Unlock()
+		return nil, target.Unreached
+	}
+	if connections == Reset && f.latencies.IntN(2) == 0 {
+		f.mu.Unlock()
+		return nil, target.Unanswered
+	}
 	if t == nil || t.unreachable {
 		f.mu.Unlock()
 		f.leaveUnanswered(ctx)
-		return nil
+		return nil, target.Unanswered
 	}
 	f.updateRuns(t)
-	return t
+	return t, target.Accepted
 }
 
 // latency draws the delay before a call.
@@ -109,7 +138,13 @@
 
 // deliver returns an answer unless the target's answers are lost.
 func (f *Fleet) deliver(ctx context.Context, to target.Listing, reply target.Reply) target.Reply {
-	if !f.Muted(to.ID) {
+	f.mu.Lock()
+	muted, connections := f.muted[to.ID], f.connections[to.ID]
+	f.mu.Unlock()
+	if connections != Open {
+		return target.Reply{Answer: target.Unanswered}
+	}
+	if !muted {
 		return reply
 	}
 	f.leaveUnanswered(ctx)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -157,12 +157,17 @@
 	// Unanswered means that no answer arrived; the order may have been carried out or may be
 	// carried out later.
 	Unanswered
+	// Unreached means that no connection to the target could be opened, so that the order was not sent.
+	Unreached
 )
 
-var answerNames = [...]string{"accepted", "fenced", "outdated", "late", "noRoom", "noTicket", "unhealthy", "wrongLife", "invalid", "unanswered"}
+var answerNames = [...]string{"accepted", "fenced", "outdated", "late", "noRoom", "noTicket", "unhealthy", "wrongLife", "invalid", "unanswered", "unreached"}
 
 func (a Answer) String() string { return answerNames[a] }
 
+// Arrived reports whether the target has answered.
+func (a Answer) Arrived() bool { return a != Unanswered && a != Unreached }
+
 // Reply is an answer with the time on the target's own clock.
 type Reply struct {
 	Answer Answer
@@ -170,8 +175,8 @@
 	Clock time.Duration
 }
 
-// Targets sends orders to targets. A call that fails, or has no answer when ctx ends, returns
-// Unanswered.
+// Targets sends orders to targets. A call that was not sent for want of a connection returns Unreached.
+// Any other that fails, or has no answer when ctx ends, returns Unanswered.
 type Targets interface {
 	Start(ctx context.Context, to Listing, order StartOrder) Reply
 	Stop(ctx context.Context, to Listing, run Run, fencingToken int64) Reply
