A gang whose member's start stays unanswered is stopped early and starts again at the first evidence

Cause: the other members held their room until their targets ended them as alone after seconds, and the gang started again only with the next long poll after the stop was accepted. Change: the gang is stopped when the start has been unanswered for 350 ms on a suspect target, or for 1.2 s on one that answers other orders. After a stop was accepted of a run that may not exist, a report is asked for beside the renewals; a report that was overtaken by a later one of the incarnation is ignored.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -43,8 +43,7 @@
 	reportedBy      int64
 	// leftOut counts the renewals in a row of which the acknowledgement was left out.
 	leftOut int
-	// unanswered says that the last renewal was not answered. Only the goroutine that renews
-	// uses it.
+	// unanswered says that the last renewal, or a request for a report since, was not answered.
 	unanswered bool
 	// nextCheck is how long the target needs no renewal, as the last call of nextRenewal found. Only the
 	// goroutine that renews uses it.
@@ -129,8 +128,7 @@
 			return errTermUnconfirmed
 		}
 		report, reply := a.session.Targets.Renew(ctx, to, order)
-		a.unanswered = reply.Answer != target.Accepted
-		a.session.orderAnswered(a.targetID, sent, reply.Answer)
+		a.renewalAnswered(sent, reply.Answer)
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
 		case target.Accepted:
@@ -152,11 +150,13 @@
 	return context.Cause(ctx)
 }
 
-// orderAnswered passes the answer to a renewal to the scheduler, and lets it decide anew if that changes
+// renewalAnswered passes the answer to a renewal to the scheduler, and lets it decide anew if that changes
 // where it may start work.
-func (s *session) orderAnswered(targetID string, sent time.Time, answer target.Answer) {
+func (a *agent) renewalAnswered(sent time.Time, answer target.Answer) {
+	s := a.session
 	s.mu.Lock()
-	changed := s.plan.OrderAnswered(time.Now(), targetID, sent, answer)
+	a.unanswered = answer != target.Accepted
+	changed := s.plan.OrderAnswered(time.Now(), a.targetID, sent, answer)
 	s.mu.Unlock()
 	if changed {
 		s.requestStep()
--- a/internal/coordinator/health_test.go
+++ b/internal/coordinator/health_test.go
@@ -13,7 +13,7 @@
 )
 
 // submitStep submits a job of one step through queue q0.
-func (d *deployment) submitStep(step workload.Step) string {
+func (d *deployment) submitStep(step workload.Step) {
 	d.t.Helper()
 	d.submitted++
 	job := &workload.Job{ID: fmt.Sprintf("%016x", d.submitted), Payload: "payload", Steps: []workload.Step{step}}
@@ -22,7 +22,6 @@
 		d.t.Fatalf("Intake.Submit: %v", err)
 	}
 	d.accepted[job.ID] = job
-	return job.ID
 }
 
 // Guards against gangs that wait for a target which went silent while it had nothing to do: idle targets
@@ -91,3 +90,56 @@
 		d.stopHosts()
 	})
 }
+
+// Guards against a gang that waits for a long poll after it is known that its missing member can't run: a
+// report is asked for as soon as that member's target has accepted the stop.
+func TestReportIsAskedForAfterTheStopOfAMissingMember(t *testing.T) {
+	const (
+		silence = 3 * time.Second
+		bound   = 800 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		var mu sync.Mutex
+		var again time.Time
+		gang, first := "", ""
+		d.starting = func(id string, order target.StartOrder) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case order.Run.Task.Job != gang:
+			case order.Run.Task.Index == 1 && order.Run.Number == 1:
+				first = id
+				d.fleet.SetUnreachable(id, true)
+			case order.Run.Number == 2 && again.IsZero():
+				again = time.Now()
+			}
+		}
+		d.restartHosts()
+		time.Sleep(10 * time.Second)
+		// Each target has a run, so that its renewals wait.
+		d.submitStep(workload.Step{Count: targetCount, Estimate: 20 * time.Second, Needs: workload.Resources{MilliCores: 5000}})
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		gang = fmt.Sprintf("%016x", d.submitted+1)
+		mu.Unlock()
+		d.submitStep(workload.Step{Count: 2, Gang: true, Estimate: time.Second, Needs: workload.Resources{Accelerators: 4}})
+		time.Sleep(silence)
+		mu.Lock()
+		if first == "" || !again.IsZero() {
+			t.Errorf("first start of the missing member on %q, next run at %s: want the first one only", first, again)
+		}
+		mu.Unlock()
+		d.fleet.SetUnreachable(first, false)
+		back := time.Now()
+		time.Sleep(5 * time.Second)
+		mu.Lock()
+		if again.IsZero() || again.Sub(back) > bound {
+			t.Errorf("next run %s after the target was back, want within %s", again.Sub(back), bound)
+		}
+		mu.Unlock()
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -11,6 +11,9 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
 
+// askDelay is the pause between the answer to a stop and a request for a report.
+const askDelay = time.Millisecond
+
 // sendLoop sends the target its orders, stops first.
 func (a *agent) sendLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -22,8 +25,12 @@
 			wait(ctx, a.orderSignal, idleCheckPeriod)
 			continue
 		}
+		asks := false
 		for _, stop := range stops {
-			a.sendStop(ctx, stop)
+			asks = a.sendStop(ctx, stop) || asks
+		}
+		if asks {
+			a.session.group.Go(func() { a.askForReport(ctx) })
 		}
 		for _, start := range starts {
 			a.sendStart(ctx, start)
@@ -42,28 +49,61 @@
 	})
 }
 
-// sendStop sends a stop. It repeats it until the target accepts it or it is no longer needed.
-func (a *agent) sendStop(ctx context.Context, stop scheduler.Stop) {
+// askForReport asks for a report beside the renewals, which may be waiting for a run to end. It neither
+// prolongs leases nor acknowledges ends.
+func (a *agent) askForReport(ctx context.Context) {
 	s := a.session
+	// The request has to be later than the answers to the stops, by the planner's clock.
+	if !sleep(ctx, askDelay) || !s.maySendOrders() {
+		return
+	}
 	s.mu.Lock()
 	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
 	s.mu.Unlock()
 	if !to.Address.IsValid() {
-		a.retryStop(ctx, stop)
 		return
 	}
+	sent := time.Now()
+	report, reply := s.Targets.Renew(ctx, to, target.RenewOrder{FenceToken: s.currentTerm.Token})
+	metrics.GetOrRegisterCounter("target.ask."+reply.Answer.String(), s.Metrics).Inc(1)
+	s.mu.Lock()
+	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
+	switch reply.Answer {
+	case target.Accepted:
+		s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
+	case target.Fenced:
+		s.cancel(errFenced)
+	default:
+		a.unanswered = true
+	}
+	s.mu.Unlock()
+	s.requestStep()
+}
+
+// sendStop sends a stop. It repeats it until the target accepts it or it is no longer needed. It reports
+// whether a report that is asked for now may show that the run does not exist.
+func (a *agent) sendStop(ctx context.Context, stop scheduler.Stop) bool {
+	s := a.session
+	s.mu.Lock()
+	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
+	s.mu.Unlock()
+	if !to.Address.IsValid() {
+		a.retryStop(ctx, stop)
+		return false
+	}
 	if !s.maySendOrders() {
 		a.logDropped("stop", stop.Run, "the term is not confirmed")
-		return
+		return false
 	}
 	sent := time.Now()
 	reply := s.Targets.Stop(ctx, to, stop.Run, s.currentTerm.Token)
 	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
 	s.mu.Lock()
 	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
-	s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
+	asks := s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
 	s.mu.Unlock()
 	a.retryStop(ctx, stop)
+	return asks
 }
 
 // retryStop sends a stop again later unless it is no longer needed.
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -13,6 +13,11 @@
 	// idleSpread of it, so that a planner that reached all targets at once doesn't do so every second.
 	maxIdleSilence = time.Second
 	idleSpread     = 200 * time.Millisecond
+	// suspectStartWait is how long a start of a gang's member may be unanswered while its target is suspect
+	// before the gang is stopped: it is repeated twice meanwhile. maxStartWait is the same for a target that
+	// answers other orders. Targets end the members that wait on their own, but later.
+	suspectStartWait = 350 * time.Millisecond
+	maxStartWait     = 1200 * time.Millisecond
 )
 
 // OrderAnswered records the answer to any order or renewal that was sent at sent. A target that left one
@@ -62,3 +67,40 @@
 	period := maxIdleSilence - time.Duration(hash.Sum32())%idleSpread
 	return max(0, period-now.Sub(n.lastContact)), true
 }
+
+// stopIncompleteGangs stops the gangs of which a member's start stays unanswered: the members that have
+// started hold their room and do nothing. Such a gang starts again once it is certain that none of its
+// members can run.
+func (s *Scheduler) stopIncompleteGangs(now time.Time) {
+	var missing []*member
+	for _, n := range s.ordered {
+		for _, m := range n.sorted {
+			if m.keepsGangWaiting(now) {
+				missing = append(missing, m)
+			}
+		}
+	}
+	for _, m := range missing {
+		// Another member may have stopped the gang.
+		if !m.stopDecided.IsZero() {
+			continue
+		}
+		reason := "a member's start is unanswered"
+		if m.node.suspect {
+			reason = "a member's target is suspect"
+		}
+		s.log("gang incomplete", m.fields(now).with(Fields{"reason": reason, "unanswered": now.Sub(m.unansweredSince), "members": len(m.unit.members)}))
+		m.unit.avoidTarget = m.node.ID
+		s.stopUnit(now, m.unit, reason)
+	}
+}
+
+// keepsGangWaiting reports whether the member's start has been unanswered for so long that its gang is
+// stopped.
+func (m *member) keepsGangWaiting(now time.Time) bool {
+	if m.state != memberStartSent || !m.startUnanswered || !m.stopDecided.IsZero() || !m.unit.step.spec.Gang {
+		return false
+	}
+	waited := now.Sub(m.unansweredSince)
+	return waited >= maxStartWait || (m.node.suspect && waited >= suspectStartWait)
+}
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -71,3 +72,111 @@
 	}
 }
 
+
+// startGang submits a gang of two that takes two whole targets, and answers its starts in order.
+func (f *fixture) startGang(answers ...target.Answer) []scheduler.Start {
+	f.t.Helper()
+	f.submit("a", "batch", workload.Step{Count: 2, Gang: true, Estimate: time.Second, Needs: workload.Resources{Accelerators: 8}})
+	starts := f.Step(f.now).Starts
+	if len(starts) != 2 || starts[0].Target != "t0" || starts[1].Target != "t1" {
+		f.t.Fatalf("have starts %v, want one on t0 and one on t1", starts)
+	}
+	for i, s := range starts {
+		f.send(s)
+		f.OrderAnswered(f.now, s.Target, f.now, answers[i])
+		f.StartAnswered(f.now, s, target.Reply{Answer: answers[i]})
+	}
+	return starts
+}
+
+// endStopped accepts a stop and reports the end of its run.
+func (f *fixture) endStopped(i int, stop scheduler.Stop, number int64) {
+	f.StopAnswered(f.now, stop, firstBorn, target.Reply{Answer: target.Accepted})
+	f.advance(time.Millisecond)
+	f.report(i, target.Report{Ended: []target.Ended{{Run: stop.Run, Number: number, Outcome: target.Stopped}}})
+}
+
+// Guards against room that members of a gang hold for seconds while another member's start is unanswered,
+// and against a second run of that member: its gang starts again only when its target, which has accepted
+// the stop, doesn't list it.
+func TestGangWhoseMemberIsMissingIsStoppedEarly(t *testing.T) {
+	f := newFixture(t, 3)
+	f.startGang(target.Accepted, target.Unanswered)
+	f.advance(200 * time.Millisecond)
+	if stops := f.Step(f.now).Stops; len(stops) != 0 {
+		t.Fatalf("have stops %v while the start can be repeated, want none", stops)
+	}
+	f.advance(200 * time.Millisecond)
+	stops := f.Step(f.now).Stops
+	if len(stops) != 2 {
+		t.Fatalf("have stops %v after the start was unanswered for 400 ms, want both members", stops)
+	}
+	f.endStopped(0, stops[0], 1)
+	f.advance(100 * time.Millisecond)
+	if starts := f.Step(f.now).Starts; len(starts) != 0 {
+		t.Fatalf("have starts %v while the unanswered start may be carried out, want none", starts)
+	}
+	if !f.StopAnswered(f.now, stops[1], firstBorn, target.Reply{Answer: target.Accepted}) {
+		t.Error("no report is asked for after the stop of a run that may not exist")
+	}
+	f.advance(time.Millisecond)
+	f.report(1, target.Report{})
+	f.advance(100 * time.Millisecond)
+	if starts := f.Step(f.now).Starts; len(starts) != 2 || starts[0].Run.Number != 2 {
+		t.Errorf("have starts %v after the last member's target reported without it, want the next run", starts)
+	}
+}
+
+// Guards against gangs that are stopped for one lost answer: the target has accepted the repeated start.
+func TestGangWhoseMembersStartIsRepeatedInTimeGoesOn(t *testing.T) {
+	f := newFixture(t, 3)
+	starts := f.startGang(target.Accepted, target.Unanswered)
+	f.advance(200 * time.Millisecond)
+	f.StartAnswered(f.now, starts[1], target.Reply{Answer: target.Accepted})
+	f.advance(2 * time.Second)
+	if stops := f.Step(f.now).Stops; len(stops) != 0 {
+		t.Errorf("have stops %v, want none", stops)
+	}
+}
+
+// Guards against gangs that wait for a target that can't be reached: a start that was not sent can't be
+// carried out, so the gang starts elsewhere as soon as its other members have ended.
+func TestGangStartsElsewhereWhenAMembersStartWasNotSent(t *testing.T) {
+	f := newFixture(t, 3)
+	f.startGang(target.Accepted, target.Unreached)
+	stops := f.Step(f.now).Stops
+	if len(stops) != 1 || stops[0].Target != "t0" {
+		t.Fatalf("have stops %v, want the member that has started", stops)
+	}
+	f.endStopped(0, stops[0], 1)
+	f.advance(100 * time.Millisecond)
+	starts := f.Step(f.now).Starts
+	if len(starts) != 2 || starts[0].Target != "t0" || starts[1].Target != "t2" {
+		t.Errorf("have starts %v, want the gang on t0 and t2", starts)
+	}
+}
+
+// Guards against two runs of one task: an earlier copy of a start that was not sent may have arrived.
+func TestStartThatWasNotSentAgainIsStoppedFirst(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.startFirst(target.Unanswered)
+	f.StartAnswered(f.now, first, target.Reply{Answer: target.Unreached})
+	if stops := f.wantNoStart("an earlier copy was unanswered"); len(stops) != 1 {
+		t.Errorf("have stops %v, want one", stops)
+	}
+}
+
+// Guards against a finished run that is taken for alive: of two reports that are requested at once, the
+// earlier one may come last.
+func TestReportThatIsOvertakenIsIgnored(t *testing.T) {
+	f := newFixture(t, 1)
+	first := f.startFirst(target.Accepted)
+	clock, sent := f.clock(), f.now
+	f.advance(10 * time.Millisecond)
+	f.report(0, target.Report{Ended: []target.Ended{{Run: first.Run, Number: 1, Outcome: target.Stopped}}})
+	f.ReportReceived(f.now, "t0", sent, target.Report{Born: firstBorn, Clock: clock, Running: []target.Running{{Run: first.Run}}})
+	f.advance(100 * time.Millisecond)
+	if plan := f.Step(f.now); len(plan.Stops) != 0 || len(plan.Starts) != 1 {
+		t.Errorf("have stops %v and starts %v, want the next run", plan.Stops, plan.Starts)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -99,8 +99,10 @@
 	listedBy int64
 	// sentTo is the incarnation of the target that the start was last sent to.
 	sentTo int64
-	// startUnanswered says that a start was sent and not answered.
+	// startUnanswered says that a start was sent and not answered, which was first known at
+	// unansweredSince.
 	startUnanswered bool
+	unansweredSince time.Time
 	// stopDecided is when the run was to be stopped, and stopAcknowledged when the target
 	// accepted the stop.
 	stopDecided      time.Time
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -15,6 +15,10 @@
 	if n == nil || !s.acceptsReport(now, n, sent, report) {
 		return
 	}
+	if n.contacted && report.Born != 0 && report.Clock < n.clock {
+		// A later report has been handled. Two that are requested at once may arrive in any order.
+		return
+	}
 	if !n.contacted {
 		// A former planner may have granted a whole lease just before it was fenced.
 		n.leaseEnd = report.Clock + s.Limits.TaskLease
@@ -234,6 +238,7 @@
 	case target.Unanswered:
 		if !m.startUnanswered {
 			s.log("start unanswered", m.fields(now))
+			m.unansweredSince = now
 		}
 		m.startUnanswered = true
 	default:
@@ -255,18 +260,22 @@
 }
 
 // StopAnswered handles the answer to a stop that was sent to the incarnation born. Another
-// incarnation knows nothing of the stop.
-func (s *Scheduler) StopAnswered(now time.Time, stop Stop, born int64, reply target.Reply) {
+// incarnation knows nothing of the stop. StopAnswered reports whether a report that is requested after
+// now may show that the run does not exist: its start may never have arrived.
+func (s *Scheduler) StopAnswered(now time.Time, stop Stop, born int64, reply target.Reply) bool {
 	n := s.nodes[stop.Target]
 	if n == nil || reply.Answer != target.Accepted || n.Born != born {
-		return
-	}
-	if m := n.members[stop.Run]; m != nil {
-		m.stopAcknowledged, n.lastContact = now, now
+		return false
 	}
 	if late := n.lateStarts[stop.Run]; late != nil {
 		late.stopBy = 0
 	}
+	m := n.members[stop.Run]
+	if m == nil {
+		return false
+	}
+	m.stopAcknowledged, n.lastContact = now, now
+	return m.state != memberConfirmed || m.startUnanswered
 }
 
 // StartSent records that a start is about to be sent. It reports whether the start is still
