--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -266,6 +266,7 @@
 		return
 	}
 	s.reportsRequested = now
+	metrics.GetOrRegisterGauge("target.suspect", s.Metrics).Update(int64(s.plan.SuspectTargets()))
 	for _, id := range s.plan.SilentTargets(now) {
 		notify(s.agent(id).renewSignal)
 	}
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// maxIdleSilence is how long a target that may be given work and has none goes without an order; a
-	// target with runs is renewed as often. The times of different targets are spread over the last
-	// idleSpread of it, so that a planner that reached all targets at once doesn't do so every second.
-	maxIdleSilence = time.Second
+	// maxIdleSilence is how long a target that may be given work and has none goes without an order. It is
+	// longer than maxReportWait of the coordinator, so that idle targets cost no more than those with runs. The
+	// times of different targets are spread over the last idleSpread of it, so that a planner that reached all
+	// targets at once doesn't do so every second.
+	maxIdleSilence = 1200 * time.Millisecond
 	idleSpread     = 200 * time.Millisecond
 	// suspectStartWait is how long a start of a gang's member may be unanswered while its target is suspect
 	// before the gang is stopped: it is repeated twice meanwhile. maxStartWait is the same for a target that
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -72,7 +72,6 @@
 	}
 }
 
-
 // startGang submits a gang of two that takes two whole targets, and answers its starts in order.
 func (f *fixture) startGang(answers ...target.Answer) []scheduler.Start {
 	f.t.Helper()
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -345,7 +345,9 @@
 
 // needsReport reports whether the target has not reported to this planner yet, or is suspect or
 // unresponsive.
-func (n *node) needsReport(now time.Time) bool { return !n.contacted || n.suspect || n.unresponsive(now) }
+func (n *node) needsReport(now time.Time) bool {
+	return !n.contacted || n.suspect || n.unresponsive(now)
+}
 
 // SilentTargets returns the IDs of the targets that have not reported to this planner yet, or are
 // suspect or unresponsive, in order.
