--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -43,9 +43,11 @@
 	reportedBy      int64
 	// leftOut counts the renewals in a row of which the acknowledgement was left out.
 	leftOut int
-	// unanswered says that the last renewal was not answered. Only the goroutine that renews
-	// uses it.
-	unanswered  bool
+	// unanswered says that the last renewal, or a request for a report since, was not answered.
+	unanswered bool
+	// nextCheck is how long the target needs no renewal, as the last call of nextRenewal found. Only the
+	// goroutine that renews uses it.
+	nextCheck   time.Duration
 	renewSignal chan struct{}
 	orderSignal chan struct{}
 
@@ -119,14 +121,14 @@
 			if a.removeIfUnused() {
 				return errTargetRemoved
 			}
-			wait(ctx, a.renewSignal, idleCheckPeriod)
+			wait(ctx, a.renewSignal, a.nextCheck)
 			continue
 		}
 		if !a.session.maySendOrders() {
 			return errTermUnconfirmed
 		}
 		report, reply := a.session.Targets.Renew(ctx, to, order)
-		a.unanswered = reply.Answer != target.Accepted
+		a.renewalAnswered(sent, reply.Answer)
 		metrics.GetOrRegisterCounter("target.renew."+reply.Answer.String(), a.session.Metrics).Inc(1)
 		switch reply.Answer {
 		case target.Accepted:
@@ -148,6 +150,19 @@
 	return context.Cause(ctx)
 }
 
+// renewalAnswered passes the answer to a renewal to the scheduler, and lets it decide anew if that changes
+// where it may start work.
+func (a *agent) renewalAnswered(sent time.Time, answer target.Answer) {
+	s := a.session
+	s.mu.Lock()
+	a.unanswered = answer != target.Accepted
+	changed := s.plan.OrderAnswered(time.Now(), a.targetID, sent, answer)
+	s.mu.Unlock()
+	if changed {
+		s.requestStep()
+	}
+}
+
 // logEnd logs that the agent sends nothing more, and how many orders it leaves.
 func (a *agent) logEnd(cause error) {
 	a.mu.Lock()
@@ -176,7 +191,12 @@
 	defer s.mu.Unlock()
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
 	acknowledged := a.durableIn(status.Listing.Born)
-	if !status.Listing.Address.IsValid() || (!status.HasRuns && !status.NeedsReport && acknowledged == a.delivered) {
+	due := status.HasRuns || status.NeedsReport || acknowledged != a.delivered || (status.Idle && status.IdleRenewalIn == 0)
+	if !status.Listing.Address.IsValid() || !due {
+		a.nextCheck = idleCheckPeriod
+		if status.Idle && !due {
+			a.nextCheck = min(idleCheckPeriod, status.IdleRenewalIn)
+		}
 		return target.RenewOrder{}, target.Listing{}, false
 	}
 	s.plan.RenewalSent(time.Now(), a.targetID)
@@ -226,6 +246,9 @@
 	} else {
 		a.leftOut = 0
 	}
+	// A report of a target without work that has nothing new to tell calls for no decision.
+	before := s.plan.TargetStatus(time.Now(), a.targetID)
+	quiet := !before.HasRuns && !before.NeedsReport && len(report.Running)+len(report.Ended) == 0 && report.Born == before.Listing.Born
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
 	after := s.plan.TargetStatus(time.Now(), a.targetID)
 	if report.Born == 0 || report.Born == after.Listing.Born {
@@ -233,6 +256,8 @@
 	}
 	waiting := after.LastEnd > a.durableIn(after.Listing.Born)
 	s.mu.Unlock()
-	s.requestStep()
+	if !quiet {
+		s.requestStep()
+	}
 	return waiting
 }
