--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -246,6 +246,9 @@
 	return err
 }
 
+// Refuse counts and logs a call that its handler refuses, and returns err.
+func (i *Intake) Refuse(call Call, err error) error { return i.reject(call, err) }
+
 // logAnswer counts and logs an answered call and records its latency in milliseconds.
 func (i *Intake) logAnswer(call Call, event string, start time.Time, more log.Fields) {
 	took := time.Since(start)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -20,6 +20,12 @@
 	MaxSteps        = 64
 	// MaxTasks limits the tasks of all occurrences together.
 	MaxTasks = 20000
+	// MaxAmount limits an amount of a resource and MaxTime a duration, so that no sum over MaxTasks tasks
+	// overflows.
+	MaxAmount = 1_000_000_000
+	MaxTime   = 10 * 365 * 24 * time.Hour
+	// maxYear is the latest year of a start; records hold times up to the year 9999.
+	maxYear = 9000
 )
 
 // Job is a submitted job.
@@ -126,9 +132,12 @@
 		}
 		tasks += step.Count
 	}
-	if tasks*j.Occurrences() > MaxTasks || j.RepeatCount < 0 || j.Interval < 0 {
+	if j.RepeatCount > MaxTasks || tasks*j.Occurrences() > MaxTasks || j.RepeatCount < 0 || j.Interval < 0 {
 		return errkind.Invalid.New("split the job, and give no negative repeat count or interval", "Job.Validate: the job has %d tasks in each of %d occurrences, but at most 20000 tasks in all and no negative repeat count or interval are allowed", tasks, j.Occurrences())
 	}
+	if j.RepeatCount > 0 && (j.Interval > MaxTime/time.Duration(j.RepeatCount) || j.FirstDue.Before(time.Unix(0, 0)) || j.FirstDue.Year() > maxYear) {
+		return errkind.Invalid.New("give a start between the years 1970 and 9000, and a shorter interval", "Job.Validate: got %d occurrences from %s with an interval of %s, but the last has to be due within ten years of the first", j.RepeatCount, j.FirstDue, j.Interval)
+	}
 	return nil
 }
 
@@ -136,6 +145,24 @@
 	if s.Count < 1 || !s.Needs.valid() || s.Estimate < 0 || s.MaxPerTarget < 0 {
 		return errkind.Invalid.New("give a count of at least 1 and no negative amounts", "Step.validate: step %d has a count below 1 or a negative amount", number)
 	}
+	for _, amount := range []struct {
+		name         string
+		value, limit int64
+	}{
+		{"count", int64(s.Count), MaxTasks},
+		{"processors", s.Needs.MilliCores, MaxAmount},
+		{"memory", s.Needs.MemoryMB, MaxAmount},
+		{"accelerators", s.Needs.Accelerators, MaxAmount},
+		{"estimate", int64(s.Estimate), int64(MaxTime)},
+		{"latency objective", int64(s.LatencyObjective), int64(MaxTime)},
+		{"limit of tasks on one target", int64(s.MaxPerTarget), MaxAmount},
+		{"limit of unavailable tasks", int64(s.MaxUnavailable), MaxAmount},
+		{"number of steps before it", int64(len(s.After)), MaxSteps},
+	} {
+		if amount.value > amount.limit || amount.value < -amount.limit {
+			return errkind.Invalid.New("give a smaller value", "Step.validate: the %s of step %d is %d, but at most %d is allowed", amount.name, number, amount.value, amount.limit)
+		}
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number {
 			return errkind.Invalid.New("name earlier steps only", "Step.validate: step %d comes after step %d, which is not an earlier step", number, earlier)
