The test of a job's bounds overflows the product of tasks and occurrences

Its case had one task too many to overflow to a small number. It now fails on the former Validate: a job of 2^32 tasks in 2^32 occurrences is accepted there.

--- a/internal/workload/job_test.go
+++ b/internal/workload/job_test.go
@@ -22,7 +22,7 @@
 	}
 	for name, change := range map[string]func(*workload.Job){
 		"tasks":             func(j *workload.Job) { j.Steps[0].Count = workload.MaxTasks + 1 },
-		"tasks and repeats": func(j *workload.Job) { j.Steps[0].Count, j.RepeatCount = 1<<32, 1<<32 },
+		"tasks and repeats": func(j *workload.Job) { j.Steps[0].Count, j.RepeatCount = 1<<32-1, 1<<32 },
 		"repeats":           func(j *workload.Job) { j.RepeatCount = math.MaxInt },
 		"processors":        func(j *workload.Job) { j.Steps[0].Needs.MilliCores = math.MaxInt64 },
 		"memory":            func(j *workload.Job) { j.Steps[0].Needs.MemoryMB = math.MaxInt64 },
