Bound what the clients of a front host can hold

A host read every body whole into memory, waited for its end without a limit, and kept any number of connections. A crowd of 300 clients brought it to 137 MB, or 1,399 MB where bodies decode large, on a machine of 80 MB.

internal/ingress bounds each listener: connections (those that send nothing, are slow or idle are closed for new ones), the memory of bodies (a body that finds none is refused with 503 before it is read; small ones have half of it to themselves; no key, address or organisation has more than half of the rest), and the time for a body and for taking a response. Callers, health checks and other hosts have limits of their own, which follow from the machine's memory and descriptors or from the table ingress of the settings. Kernel buffers are 64 KB.

A body that does not arrive is answered with 503 in place of 504: nothing was written. The time limit of a call whose body took long leaves the store a quarter of it. X-Deadline-Ms counts up to a minute.

Seen to fail without its code: each test of internal/ingress and of the budget.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/entry"
 	"github.com/eelgrasstide/eelgrasstide/internal/hangup"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/logsink"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
@@ -38,6 +39,10 @@
 	memoryLimitShare = 0.6
 	// frontGCPercent saves CPU time at the cost of a larger heap than serve has.
 	frontGCPercent = 100
+	// hostsShare is what other hosts can hold, relative to the callers' connections and body memory.
+	hostsShare = 0.5
+	// readyConnections is the limit of connections for health checks.
+	readyConnections = 32
 )
 
 func frontCommand(app *kingpin.Application, _ *globalFlags) (string, func(context.Context) error) {
@@ -83,12 +88,18 @@
 		},
 	}
 	e.Intake = &intake.Intake{Store: e.Store, Catalogue: e.Catalogue, Metrics: registry, Log: log.Log}
-	e.Callers = entry.Listener{Address: host.Callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping}}
-	e.Ready = entry.Listener{Address: host.Ready, Handler: readinessHandler(e)}
+	limits := ingress.NewLimits(own.Ingress, host.Entry.MemoryMB, host.Entry.MaxDescriptors)
+	bounds := func(name string, limits ingress.Limits) *ingress.Ingress {
+		return &ingress.Ingress{Name: name, Limits: limits, Metrics: registry, Log: log.Log}
+	}
+	callers, hosts := bounds("callers", limits), bounds("hosts", limits.Share(hostsShare))
+	limits.MaxConnections = readyConnections
+	e.Callers = entry.Listener{Address: host.Callers, Ingress: callers, Handler: &platform.Callers{Intake: e.Intake, Stopping: e.Stopping, Ingress: callers}}
+	e.Ready = entry.Listener{Address: host.Ready, Ingress: bounds("ready", limits), Handler: readinessHandler(e)}
 	hostMux := http.NewServeMux()
 	hostMux.Handle("/metrics", metricsHandler(registry))
-	hostMux.Handle("/", relayedStore.Handler())
-	e.Hosts = entry.Listener{Address: host.Hosts, Handler: hostMux}
+	hostMux.Handle("/", hosts.Wrap(relayedStore.Handler(), func(*http.Request) int64 { return relay.MaxCallBytes }, relay.Refuse))
+	e.Hosts = entry.Listener{Address: host.Hosts, Ingress: hosts, Handler: hostMux}
 	return e
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/coordinator"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/intake"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
@@ -30,11 +31,8 @@
 )
 
 const (
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
-	maxWatchWait   = time.Second
-	retryInterval  = 150 * time.Millisecond
+	maxWatchWait  = time.Second
+	retryInterval = 150 * time.Millisecond
 	// retentionMargin is how much longer than Settings.Retention the records of ended jobs are
 	// kept.
 	retentionMargin = 10 * time.Second
@@ -90,6 +88,8 @@
 type Listener struct {
 	Address netip.AddrPort
 	Handler http.Handler
+	// Ingress bounds what clients can hold; nil stands for the default limits.
+	Ingress *ingress.Ingress
 }
 
 // Catalogue returns the configuration in force; nil until one has been read.
@@ -171,14 +171,17 @@
 		if !l.Address.IsValid() {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.Address.String())
+		bounds := l.Ingress
+		if bounds == nil {
+			limits := ingress.NewLimits(nil, e.Settings.MemoryMB, e.Settings.MaxDescriptors)
+			bounds = &ingress.Ingress{Name: l.Address.String(), Limits: limits, Metrics: e.Registry, Log: e.Log}
+		}
+		listener, err := bounds.Listen(l.Address.String())
 		if err != nil {
 			return nil, nil, errkind.Invalid.New("set the listen address to a free one of this host", "Entry.listen: %v", err)
 		}
-		server := &http.Server{
-			Handler: l.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			BaseContext: func(net.Listener) context.Context { return callContext },
-		}
+		server := bounds.Server(l.Handler)
+		server.BaseContext = func(net.Listener) context.Context { return callContext }
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -16,6 +16,20 @@
 // store, never through a third host.
 func (r *Relay) Handler() http.Handler { return wire.NewStoreRelayServer(&server{relay: r}) }
 
+// MaxCallBytes is the largest body of a call of another host.
+const MaxCallBytes = 4 << 20
+
+// Refuse answers a call of another host whose body has not been read, so that the call has no effect.
+func Refuse(w http.ResponseWriter, _ *http.Request, err error) {
+	code := twirp.Unavailable
+	if !errkind.Unavailable.Is(err) {
+		code = twirp.InvalidArgument
+	}
+	if err := twirp.WriteError(w, twirp.NewError(code, err.Error())); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
 type server struct {
 	relay *Relay
 }
