Bound what the clients of a serve host can hold

A crowd of 150 clients brought `eelgrasstide serve` with a limit of 80 MB to 223 MB and its descriptors to 319. The host's listener has the limits of internal/ingress now. A refused request for work is answered with the state "not run" and Retry-After, a call of another host as unavailable. The fixed time limit of 15 s for a body is replaced by the rate at which it has to arrive.

--- a/internal/host/api.go
+++ b/internal/host/api.go
@@ -17,9 +17,11 @@
 	"github.com/kataras/iris/v12"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -27,11 +29,14 @@
 	maxWorkBytes  = 1 << 20
 	maxApplyBytes = 8 << 20
 	applyPath     = "/v1/operator/configuration"
+	workPath      = "/v1/work"
+	// refusalWait is the time after which a caller may come back whose body was not read.
+	refusalWait = time.Second
 )
 
 // handler serves calls from other hosts through Twirp, and those from callers and operators
 // through iris. Request bodies are limited to 8 MiB for a configuration and to 1 MiB
-// otherwise.
+// otherwise, and are read before the call is served.
 func (h *Host) handler() http.Handler {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -39,7 +44,7 @@
 	app.Get("/readyz", h.getReady)
 	app.Get("/metrics", h.getMetrics)
 	app.Post("/v1/tickets", h.postTicket)
-	app.Post("/v1/work", h.postWork)
+	app.Post(workPath, h.postWork)
 	app.Get("/v1/work/{ticket}", h.getWork)
 	app.Delete("/v1/work/{ticket}", h.deleteWork)
 	app.Get("/v1/work/{ticket}/explain", h.getExplanation)
@@ -54,18 +59,54 @@
 		h.log.Errorf("the HTTP routes could not be built: %v", err)
 	}
 	peers := wire.NewHostServer(&peerService{host: h})
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		limit := int64(maxWorkBytes)
-		if r.URL.Path == applyPath {
-			limit = maxApplyBytes
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, peers.PathPrefix()) {
 			peers.ServeHTTP(w, r)
 			return
 		}
 		app.ServeHTTP(w, r)
 	})
+	return h.ingress.Wrap(serve, bodyLimit, func(w http.ResponseWriter, r *http.Request, err error) {
+		if strings.HasPrefix(r.URL.Path, peers.PathPrefix()) {
+			relay.Refuse(w, r, err)
+			return
+		}
+		refuse(w, r, err)
+	})
+}
+
+// bodyLimit returns the largest body of a request.
+func bodyLimit(r *http.Request) int64 {
+	if r.URL.Path == applyPath {
+		return maxApplyBytes
+	}
+	return maxWorkBytes
+}
+
+// refuse answers a request whose body has not been read, so that it has no effect.
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	var message proto.Message = &wire.ErrorBody{Kind: errkind.NameOf(err), Message: errkind.Message(err), At: timestamppb.Now()}
+	status := errkind.Status(err)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		status, message = http.StatusBadRequest, &wire.ErrorBody{
+			Kind: errkind.Invalid.Name(), At: timestamppb.Now(),
+			Message: fmt.Sprintf("the request body is larger than the limit of %d bytes; send a smaller body", large.Limit),
+		}
+	case r.URL.Path == workPath:
+		message = &wire.WorkResponse{State: wire.WorkState_WORK_STATE_NOT_RUN, Reason: errkind.Message(err), RetryAfter: durationpb.New(refusalWait)}
+	}
+	if large == nil {
+		w.Header().Set("Retry-After", strconv.Itoa(int(refusalWait.Seconds())))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	text, marshalErr := protojson.Marshal(message)
+	if marshalErr != nil {
+		text = []byte(`{"kind":"internal"}`)
+	}
+	w.Write(append(text, '\n'))
 }
 
 // reply writes a message as JSON with an HTTP status.
@@ -86,12 +127,8 @@
 // decode reads a JSON request body into a message. Errors are Invalid.
 func decode(c iris.Context, into proto.Message) error {
 	body, err := io.ReadAll(c.Request().Body)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return errkind.Invalid.New("send a smaller body", "the request body is larger than the limit of %d bytes", large.Limit)
-	}
 	if err != nil {
-		return errkind.Invalid.New("send the whole body within 15 s", "the request body could not be read: %v", err)
+		return errkind.Invalid.New("send the whole body", "the request body could not be read: %v", err)
 	}
 	if err := protojson.Unmarshal(bytes.TrimSpace(body), into); err != nil {
 		return errkind.Invalid.New("see docs/api.md for the fields", "the request body is not valid JSON for this call: %v", err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -24,6 +23,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/configuration"
 	"github.com/eelgrasstide/eelgrasstide/internal/dispatcher"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/journal"
 	"github.com/eelgrasstide/eelgrasstide/internal/leadership"
 	"github.com/eelgrasstide/eelgrasstide/internal/membership"
@@ -42,11 +42,7 @@
 	// RunnerConnections is the number of connections that a runner accepts from all hosts.
 	RunnerConnections = 60
 	// runnerSlots is the number of requests that a runner serves at once.
-	runnerSlots    = 8
-	headerTimeout  = 5 * time.Second
-	bodyTimeout    = 15 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
+	runnerSlots = 8
 	// journalGrace is the time in which a stopping journal may still write queued records.
 	journalGrace    = 3 * time.Second
 	stopCallTimeout = 2 * time.Second
@@ -59,6 +55,7 @@
 	incarnation   string
 	address       netip.AddrPort
 	registry      metrics.Registry
+	ingress       *ingress.Ingress
 	store         *store.Store
 	peers         *peer.Peers
 	httpClient    *http.Client
@@ -84,7 +81,9 @@
 // nil after such a stop, Invalid if the host cannot listen or write its address file, and
 // otherwise the error that ended the server or a background loop.
 func (h *Host) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", h.Settings.GetListen())
+	h.registry = metrics.NewRegistry()
+	h.ingress = &ingress.Ingress{Name: "host", Limits: ingressLimits(h.Settings), Metrics: h.registry, Log: log.Log}
+	listener, err := h.ingress.Listen(h.Settings.GetListen())
 	if err != nil {
 		return errkind.Invalid.New("set listen to a free address of this host", "Host.Run: cannot listen: %v", err)
 	}
@@ -98,10 +97,7 @@
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	ends := background.Start(loopsCtx, h.loops()...)
-	server := &http.Server{
-		Handler: h.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	server := h.ingress.Server(h.handler())
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -175,7 +171,7 @@
 	hostSettings := h.Settings
 	h.incarnation = hostSettings.GetName() + "~" + strings.ToLower(rand.Text()[:10])
 	h.log = log.WithFields(log.Fields{"part": "host", "host": hostSettings.GetName()})
-	h.registry, h.stopPolls, h.runners = metrics.NewRegistry(), make(chan struct{}), map[string]*runner.Client{}
+	h.stopPolls, h.runners = make(chan struct{}), map[string]*runner.Client{}
 	h.peers, h.httpClient = &peer.Peers{}, &http.Client{}
 	h.store = &store.Store{
 		Backend:        wire.NewStoreProtobufClient("http://"+hostSettings.GetStore(), h.httpClient),
