Refuse messages between hosts that have more parts than any of theirs

An empty part of a message takes two bytes and decodes to tens of times as many, and the listeners for other hosts ask for no credential: 20 messages of 4 MB brought front to 385 MB, 20 of 1 MB serve to 92 MB, where 80 are allowed.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -98,7 +98,7 @@
 	e.Ready = entry.Listener{Address: host.Ready, Ingress: bounds("ready", limits), Handler: readinessHandler(e)}
 	hostMux := http.NewServeMux()
 	hostMux.Handle("/metrics", metricsHandler(registry))
-	hostMux.Handle("/", hosts.Wrap(relayedStore.Handler(), func(*http.Request) int64 { return relay.MaxCallBytes }, relay.Refuse))
+	hostMux.Handle("/", hosts.Wrap(relayedStore.Handler(), func(*http.Request) int64 { return relay.MaxCallBytes }, ingress.CheckMessage, relay.Refuse))
 	e.Hosts = entry.Listener{Address: host.Hosts, Ingress: hosts, Handler: hostMux}
 	return e
 }
--- a/internal/host/api.go
+++ b/internal/host/api.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
@@ -66,7 +67,13 @@
 		}
 		app.ServeHTTP(w, r)
 	})
-	return h.ingress.Wrap(serve, bodyLimit, func(w http.ResponseWriter, r *http.Request, err error) {
+	check := func(r *http.Request, body []byte) error {
+		if strings.HasPrefix(r.URL.Path, peers.PathPrefix()) {
+			return ingress.CheckMessage(r, body)
+		}
+		return nil
+	}
+	return h.ingress.Wrap(serve, bodyLimit, check, func(w http.ResponseWriter, r *http.Request, err error) {
 		if strings.HasPrefix(r.URL.Path, peers.PathPrefix()) {
 			relay.Refuse(w, r, err)
 			return
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -111,9 +111,9 @@
 	})
 }
 
-// Wrap returns a handler that reads the body of each request, up to limit(r) bytes, before it calls next. A
-// request that cannot be admitted is passed to refuse.
-func (i *Ingress) Wrap(next http.Handler, limit func(*http.Request) int64, refuse func(http.ResponseWriter, *http.Request, error)) http.Handler {
+// Wrap returns a handler that reads the body of each request, up to limit(r) bytes, and checks it, if check
+// is set, before it calls next. A request that cannot be admitted is passed to refuse.
+func (i *Ingress) Wrap(next http.Handler, limit func(*http.Request) int64, check func(*http.Request, []byte) error, refuse func(http.ResponseWriter, *http.Request, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
@@ -125,6 +125,12 @@
 			return
 		}
 		defer release()
+		if check != nil {
+			if err := check(r, body); err != nil {
+				refuse(w, r, err)
+				return
+			}
+		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -31,7 +31,7 @@
 	}
 	server := bounds.Server(bounds.Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.Copy(w, r.Body)
-	}), func(*http.Request) int64 { return bodyLimit }, func(w http.ResponseWriter, _ *http.Request, err error) {
+	}), func(*http.Request) int64 { return bodyLimit }, nil, func(w http.ResponseWriter, _ *http.Request, err error) {
 		w.WriteHeader(errkind.Status(err))
 	}))
 	go func() { _ = server.Serve(listener) }()
--- a/test/crowd/serve_test.go
+++ b/test/crowd/serve_test.go
@@ -80,6 +80,7 @@
 func TestServeUnderACrowd(t *testing.T) {
 	work := crowd.Padded(`"organisation":"shops","class":"nameMatch"`, workBytes)
 	files := crowd.Repeated(`"base":"0"`, "files", applyBytes)
+	sightings := crowd.Repeated(`"sender":{}`, "sightings", workBytes)
 	cases := []struct {
 		name, path string
 		clients    int
@@ -90,7 +91,8 @@
 		{"large chunks without an end", "/v1/work", clients, []crowd.Behaviour{crowd.Chunked(work, 1<<16)}},
 		{"small chunks without an end", "/v1/work", clients, []crowd.Behaviour{crowd.Chunked(work[:workBytes/4], 1)}},
 		{"bodies for other hosts", "/twirp/eelgrasstide.wire.Host/Forward", clients, []crowd.Behaviour{crowd.Short(work, 8)}},
-		{"configurations that decode large", "/v1/operator/configuration", 6, []crowd.Behaviour{crowd.Whole(files)}},
+		{"messages of hosts that decode large", "/twirp/eelgrasstide.wire.Host/Heartbeat", 20, []crowd.Behaviour{crowd.Whole(sightings)}},
+		{"large configurations", "/v1/operator/configuration", 6, []crowd.Behaviour{crowd.Whole(files)}},
 		{"nothing sent, responses not read", "/readyz", clients, []crowd.Behaviour{crowd.Silent, crowd.Unread(2000)}},
 		{"all at once", "/v1/work", clients / 3, []crowd.Behaviour{
 			crowd.Whole(work), crowd.Short(work, 8), crowd.Chunked(work, 1<<16), crowd.Chunked(work[:workBytes/4], 1), crowd.Silent, crowd.Unread(2000),
