A caller that leaves does not stop the writes of others

A write that ended with its caller's context opened the breaker: a caller that closes its connection at once, or gives a deadline of a millisecond, had all other submissions of the host refused for up to 250 ms. The test fails without it.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -143,7 +143,10 @@
 		}
 		select {
 		case <-ctx.Done():
-			i.recordWrite(false)
+			// A caller that leaves, or whose deadline is short, says nothing about the store.
+			if time.Now().After(refusedBy) {
+				i.recordWrite(false)
+			}
 			if ambiguous {
 				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -60,6 +60,22 @@
 	})
 }
 
+// Guards against: a caller that leaves at once, or gives a deadline of a millisecond, makes the host
+// refuse the jobs of all others.
+func TestCallerThatLeavesHasNoEffectOnOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newIntake(&batchstore.Store{})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		if err := i.Submit(ctx, intake.Call{ID: "1"}, job("1")); err == nil {
+			t.Error("Submit of a caller that leaves: have no error, want one")
+		}
+		if err := i.Submit(context.Background(), intake.Call{ID: "2"}, job("2")); err != nil {
+			t.Errorf("Submit of another caller: have %v, want no error", err)
+		}
+	})
+}
+
 // A write that took effect although its answer was lost must be reported as accepted.
 func TestSubmitResolvesALostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
