The digest of the load leaves out cordoned capacity

Cause: waits counted on targets of cordoned zones, which get no new work. Change: these are left out of the capacity, and still count for the largest targets. The test of the digest in the coordinator also checks that a successor takes over the largest targets.

--- a/internal/coordinator/load_test.go
+++ b/internal/coordinator/load_test.go
@@ -10,6 +10,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/load"
 	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
@@ -79,11 +81,18 @@
 		if view = see(6 * time.Second); view.Unknown == "" {
 			t.Errorf("6 s after the planner has ended: have %+v, %s old, want it unknown", view.Digest, view.Age)
 		}
+		larger := *view.Digest
+		larger.Services = map[string]load.Service{"s": {Largest: workload.Resources{Accelerators: 16}}}
+		value, err := larger.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.commit(keyvalue.Txn{Puts: []keyvalue.Put{{Key: records.LoadKey, Value: value}}})
 		for i := range d.stopHost {
 			d.startHost(i)
 		}
-		if view = see(20 * time.Second); view.Unknown != "" || view.Digest.Token <= token {
-			t.Errorf("20 s after another planner has begun: have %+v, %q, want a higher token than %d", view.Digest, view.Unknown, token)
+		if view = see(20 * time.Second); view.Unknown != "" || view.Digest.Token <= token || view.Digest.Services["s"].Largest.Accelerators != 16 {
+			t.Errorf("20 s after another planner has begun: have %+v, %q, want a higher token than %d, and 16 accelerators as its predecessor knew", view.Digest, view.Unknown, token)
 		}
 		stop()
 		d.stopHosts()
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		reported++
-		if n.Draining || n.unresponsive(now) {
+		if n.Draining || n.unresponsive(now) || s.isCordoned(n) {
 			continue
 		}
 		p := pools[n.Service]
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/load"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
@@ -111,3 +113,20 @@
 		t.Errorf("a planner whose target has gone: have %+v", former)
 	}
 }
+
+// Guards against waits that count on the capacity of cordoned zones, and against jobs that are said to fit nowhere
+// because of a cordon.
+func TestLoadDuringACordon(t *testing.T) {
+	f := newFixture(t, 1)
+	cordoned := f.listing(1)
+	cordoned.Zone = "z"
+	f.TargetListed(f.now, cordoned)
+	f.report(1, target.Report{})
+	f.SetCordons(f.now, (&cordon.Set{Confirmed: f.now}).With("z", 1, true))
+	f.surge(1, "o")
+	f.startAll()
+	d := f.Load(f.now)
+	if wait := d.Queues["batch"].ExpectedWait; wait < 3*time.Second || d.Services["s"].Targets != 2 {
+		t.Errorf("have a wait of %s on %d targets, want it until the runs of the only other one of 2 end", wait, d.Services["s"].Targets)
+	}
+}
