Policy of decisions: a package with named, checked settings

The scheduler's weights were constants taken from one price list. internal/policy derives them from what callers and operators state (objective, stretch factor, priority) and from the settings table policy, of which each mistake is reported with its line.

--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -5,6 +5,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -51,4 +52,18 @@
 
 // Validate returns all mistakes, those found while decoding included, as one error of kind
 // Invalid, or nil.
-func (f *Front) Validate() error { return decoder.Err(f.decoder.Problems) }
+func (f *Front) Validate() error {
+	weights := f.SchedulingPolicy()
+	for _, problem := range weights.Validate() {
+		f.decoder.Report("policy."+problem.Key, problem.Remedy, "%s", problem.Text)
+	}
+	return decoder.Err(f.decoder.Problems)
+}
+
+// SchedulingPolicy returns the policy that the settings describe; a nil Front has the default one.
+func (f *Front) SchedulingPolicy() policy.Policy {
+	if f == nil {
+		return policy.FromSettings(nil)
+	}
+	return policy.FromSettings(f.GetPolicy())
+}
