The scheduler weighs by its policy and by what waiting work is worth

Cause: the value of a job, a late end, lost work and a stop were constants of one price list (wasteCost, priorityWorth, lateShare, lateFactor, expiredShare, fixedWorth, maxRelativeWork, preemptionCost, coresPerAccelerator).

Change: Limits.Policy carries the weights. A job's value falls linearly from its objective to its expiry. A stop costs the capacity of the lost work and of the stop, as dominant share of a target, at the mean value per target-second of the lower-priority work that waits, and the part of the victim's value that the delay takes of the time left until its expiry. A late end costs as many durations as the job's value per target-second exceeds that price, eight at most.

TestLostCapacityCostsWhatWaitsForIt and TestRunsAreStoppedForWhatAJobIsStillWorth were seen to fail with a price of 0, with backlogs that are not cleared, with a value that does not expire and with priorities of equal weight.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -148,7 +148,7 @@
 func (e *Entry) newElection() *term.Election {
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
-		Catalogue: e.Catalogue, Limits: e.Settings.limits(), Metrics: e.Registry, Log: e.Log,
+		Catalogue: e.Catalogue, Limits: e.Settings.limits(e.Own.SchedulingPolicy()), Metrics: e.Registry, Log: e.Log,
 	}
 	return &term.Election{Store: e.Store, Name: e.Settings.Name, Delay: e.Settings.delay(), Elapsed: elapsed, Lead: planner.Lead, Log: e.Log}
 }
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/coordinator"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 )
 
@@ -67,12 +68,13 @@
 	return nil
 }
 
-// limits returns the scheduler's limits that follow from the settings.
-func (s *Settings) limits() scheduler.Limits {
+// limits returns the scheduler's limits that follow from the settings, and its policy.
+func (s *Settings) limits(weights policy.Policy) scheduler.Limits {
 	return scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
 		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime,
+		Policy: weights,
 	}
 }
 
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -11,24 +11,6 @@
 
 const failedPhase = wire.JobPhase_JOB_PHASE_FAILED
 
-const (
-	// lateShare is the share of its worth that a job earns when it ends after its objective.
-	lateShare = 0.25
-	// lateFactor is the multiple of its objective after which a job earns nothing.
-	lateFactor = 3
-	// expiredShare scales the worth of jobs that earn nothing any more. They still have to
-	// end, so they keep an order among themselves.
-	expiredShare = 0.01
-	// fixedWorth is the share of a job's worth that does not grow with its work.
-	fixedWorth = 0.3
-	// maxRelativeWork bounds the worth of large jobs, as a multiple of the queue's mean work.
-	maxRelativeWork = 5.3
-)
-
-// priorityWorth is the worth of a job of mean work, by priority; the last entry also holds for
-// all higher numbers.
-var priorityWorth = [...]float64{4, 3, 1}
-
 // estimate is what the scheduler has learned from a queue's jobs.
 type estimate struct {
 	// ratio is the measured duration of a task at speed 1 divided by the caller's estimate.
@@ -101,12 +83,20 @@
 	// guaranteeOverdue says that a guaranteed job has waited for guaranteeWait. It comes
 	// before all others from then on.
 	guaranteeOverdue bool
-	score            float64
-	// worth is the credit that the job can still earn.
-	worth float64
+	// score is the job's value for each target-second that it still needs.
+	score float64
+	// weight is the job's value if it ends on time, and value what it is worth if the step's tasks start
+	// now and run at speed 1.
+	weight, value float64
 	// slack is how many seconds a task of the step may take if the job is to end on time. It
 	// is not above 0 if the job cannot end on time on any target.
 	slack float64
+	// expirySlack is how many seconds such a task may take before the job expires.
+	expirySlack float64
+	// lateCostFactor is the cost of a late end, as pass.lateCostFactor returns it.
+	lateCostFactor float64
+	// placed counts the units that were started in this pass.
+	placed int
 }
 
 // candidates returns the steps with units to start in the order in which they are placed:
@@ -208,10 +198,10 @@
 	return most
 }
 
-// score returns the credit that the job can still earn per target-second that it still needs.
-// It sets the candidate's worth and slack.
+// score returns the value that the job still has for each target-second that it still needs. It
+// sets the candidate's value, weight and slack.
 func (s *Scheduler) score(now time.Time, c *candidate) float64 {
-	j, st := c.step.job, c.step
+	st := c.step
 	remaining := 0.0
 	timeLeft := time.Duration(0)
 	for _, other := range st.occurrence.steps {
@@ -222,22 +212,16 @@
 		remaining += fractionLeft * float64(other.spec.Count) * s.taskDuration(other).Seconds() * s.targetShare(other.spec)
 		timeLeft += s.taskDuration(other)
 	}
-	worth := s.worth(j)
-	objective := s.objective(st.occurrence)
+	lateness := s.lateness(st.occurrence)
 	finish := now.Add(timeLeft).Sub(st.occurrence.due)
-	c.slack = (objective - finish + s.taskDuration(st)).Seconds()
-	switch {
-	case finish <= objective:
-	case finish <= lateFactor*objective:
-		worth *= lateShare
-	default:
-		worth *= expiredShare
-	}
-	c.worth = worth
-	return worth / max(remaining, 0.01)
+	duration := s.taskDuration(st)
+	c.slack, c.expirySlack = (lateness.Objective - finish + duration).Seconds(), (lateness.Expiry - finish + duration).Seconds()
+	c.weight = s.weight(st.job)
+	c.value = c.weight * lateness.ValueShare(finish)
+	return c.value / max(remaining, 0.01)
 }
 
-// objective returns the time within which an occurrence has to end to earn its whole worth. It
+// objective returns the time within which an occurrence has to end to keep its whole value. It
 // grows with the work, so it uses the measured durations of the steps rather than the caller's
 // estimates.
 func (s *Scheduler) objective(o *occurrence) time.Duration {
@@ -246,13 +230,3 @@
 		return s.taskDuration(o.steps[i]), o.steps[i].spec.After
 	}))) + terms.RuntimeObjective
 }
-
-// worth returns the credit that a job earns if it ends on time. Credit is the unit in which
-// the value of jobs and the cost of stops are compared.
-func (s *Scheduler) worth(j *job) float64 {
-	relative := 1.0
-	if mean := j.estimate.work; mean > 0 {
-		relative = min(j.work/mean, maxRelativeWork)
-	}
-	return priorityWorth[min(max(j.terms.Priority, 0), len(priorityWorth)-1)] * (fixedWorth + (1-fixedWorth)*relative)
-}
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -59,11 +59,14 @@
 		total = &usage{}
 		p.usage[n.Service] = total
 	}
-	total.used, total.whole = total.used.Plus(n.used), total.whole.Plus(n.Capacity)
+	total.used, total.whole, total.targets = total.used.Plus(n.used), total.whole.Plus(n.Capacity), total.targets+1
 }
 
-// usage is how much of a service's capacity is in use.
-type usage struct{ used, whole workload.Resources }
+// usage is how much of the capacity of a service's targets is in use.
+type usage struct {
+	used, whole workload.Resources
+	targets     int
+}
 
 // candidateNodes returns the targets that had enough free accelerators for a task of the step at the
 // start of the pass.
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -13,9 +13,9 @@
 	// fastTargetExponent is the power of a target's speed in its cost per second. Above 1, a
 	// run costs more on a fast target, so tasks with time to spare leave those to others.
 	fastTargetExponent = 1.3
-	// lateCostFactor is the cost of a run that ends after its job's objective, in multiples of
-	// the task's expected duration at speed 1.
-	lateCostFactor = 4.0
+	// maxLateCostFactor bounds the cost of a late end, in multiples of the task's expected duration at
+	// speed 1. It holds while nothing waits, when any loss of value outweighs the price of capacity.
+	maxLateCostFactor = 8
 	// endUncertainty is the uncertainty of a run's end, as the scale of a logistic
 	// distribution of the logarithm of its duration. Placements use only safeSlackShare of a
 	// job's slack.
@@ -66,7 +66,19 @@
 
 // expectedLateCost returns the cost of a late end, weighted by its probability, for one task.
 func (p *pass) expectedLateCost(c *candidate, runSeconds float64) float64 {
-	return lateCostFactor * p.s.taskDuration(c.step).Seconds() * c.lateProbability(runSeconds)
+	return c.lateCostFactor * p.s.taskDuration(c.step).Seconds() * c.lateProbability(runSeconds)
+}
+
+// lateCostFactor returns the cost of a late end of a candidate's job, in multiples of the task's expected
+// duration at speed 1: how many times as much a target-second is worth to the job as to the work that waits.
+// It takes the whole value as lost: a placement is made to meet the objective, and the first second after it
+// would cost too little to leave a cheap target for.
+func (p *pass) lateCostFactor(c *candidate) float64 {
+	price := p.s.price(c.step.job.terms.Service)
+	if price <= 0 {
+		return maxLateCostFactor
+	}
+	return min(c.score/price, maxLateCostFactor)
 }
 
 func fraction(part, whole int64) float64 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -88,6 +88,7 @@
 func (s *Scheduler) place(now time.Time) {
 	candidates := s.candidates(now)
 	if len(candidates) == 0 {
+		clear(s.backlogs)
 		return
 	}
 	p := &s.pass
@@ -95,6 +96,7 @@
 	for _, c := range candidates {
 		p.startUnits(c)
 	}
+	p.measureBacklogs(candidates)
 	s.wakeAt(now.Add(idlePassInterval))
 }
 
@@ -114,6 +116,7 @@
 // one that does not fit it tries to reserve capacity, and skips the rest.
 func (p *pass) startUnits(c *candidate) {
 	requirements := c.requirements()
+	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
 		if p.unplaceable[requirements] {
 			break
@@ -133,6 +136,7 @@
 			break
 		}
 		p.startRun(c, u, chosen)
+		c.placed++
 	}
 }
 
@@ -256,7 +260,7 @@
 		}
 		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
 		p.s.log("run placed", m.fields(p.now).with(Fields{
-			"rack": n.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
+			"rack": n.Rack, "queue": j.Queue, "score": c.score, "value": c.value, "weight": c.weight, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
 		}))
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -2,23 +2,17 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// coresPerAccelerator is how many cores an accelerator counts as when lost work is valued.
-	coresPerAccelerator = 8
-	// wasteCost is the credit that one core-second of lost work costs.
-	wasteCost = 0.0012
-	// preemptionCost is the additional credit that each stop costs. It grows with each stop of
-	// the same unit, so that the unit is not stopped again and again.
-	preemptionCost = 0.1
-	// maxLossShare is the share of a job's worth that may be lost to other jobs when runs are
+	// maxLossShare is the share of what a job gains that may be lost to other jobs when runs are
 	// stopped for it.
 	maxLossShare = 0.8
-	// guaranteeWait is how long a job that a guarantee covers waits before runs that are worth
-	// more than the job are stopped for it.
+	// guaranteeWait is how long a job that a guarantee covers waits before runs whose loss is more
+	// than the job's value are stopped for it.
 	guaranteeWait = 500 * time.Millisecond
 	// fasterTargetWait is how long, in addition to the time of a stop, a job waits for
 	// capacity on faster targets.
@@ -34,11 +28,11 @@
 // victim is a unit whose run could be stopped to free capacity.
 type victim struct {
 	unit *unit
-	// loss is the credit that stopping it costs.
+	// loss is the value that stopping it costs.
 	loss float64
 }
 
-// preempt stops less important runs so that a candidate of priority 0 fits, if the job's worth
+// preempt stops less important runs so that a candidate of priority 0 fits, if the job's value
 // outweighs the loss or its guarantee is overdue. It reports whether capacity is reserved.
 func (p *pass) preempt(c *candidate) bool {
 	if !c.guaranteeOverdue && (p.searches >= maxSearches || p.now.Before(c.step.searchAgainAt)) {
@@ -51,7 +45,7 @@
 	}
 	// A guarantee is met in any case, but before a costly stop the job waits for
 	// guaranteeWait, in which capacity may become free.
-	if !c.guaranteeOverdue && best.loss > c.credit(best.late)*maxLossShare {
+	if !c.guaranteeOverdue && best.loss > best.value*maxLossShare {
 		if c.guaranteed {
 			p.s.wakeAt(c.step.occurrence.due.Add(guaranteeWait))
 		}
@@ -80,7 +74,7 @@
 		return false
 	}
 	best := p.preemption(c)
-	if best == nil || best.late || best.loss > (c.credit(false)-c.credit(true))*maxLossShare {
+	if best == nil || best.loss > (best.value-c.valueIn(chosen.runSeconds))*maxLossShare {
 		return false
 	}
 	if c.step.preemptFasterAt.IsZero() {
@@ -91,28 +85,18 @@
 	return true
 }
 
-// credit returns what the candidate's job earns on time or late. Without slack, its worth is
-// already that of a late job.
-func (c *candidate) credit(late bool) float64 {
-	if late && c.slack > 0 {
-		return c.worth * lateShare
-	}
-	return c.worth
-}
-
 // preemption returns the stops that free enough capacity and for which the loss less the
-// credit that the job then earns, on time or late, is smallest; nil if there are none.
+// value that the job then has is smallest; nil if there are none.
 func (p *pass) preemption(c *candidate) *preemption {
 	count := c.step.spec.Members()
 	var best *preemption
 	for _, openNodes := range p.nodeSets(c, count) {
-		for _, late := range []bool{false, true} {
-			found := p.clear(c, p.fastEnough(c, openNodes, late), count)
+		for _, mayBeLate := range []bool{false, true} {
+			found := p.clear(c, p.fastEnough(c, openNodes, mayBeLate), count)
 			if found == nil {
 				continue
 			}
-			found.late = late
-			if best == nil || found.loss-c.credit(late) < best.loss-c.credit(best.late) {
+			if best == nil || found.loss-found.value < best.loss-best.value {
 				best = found
 			}
 		}
@@ -122,8 +106,8 @@
 
 // fastEnough returns the targets on which the candidate's job would end on time once runs
 // there have been stopped; all targets if it may be late.
-func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, late bool) []*freeCapacity {
-	if late {
+func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, mayBeLate bool) []*freeCapacity {
+	if mayBeLate {
 		return openNodes
 	}
 	maxSeconds := safeSlackShare*c.slack - p.s.Limits.StopTime.Seconds()
@@ -150,10 +134,8 @@
 type preemption struct {
 	openNodes []*freeCapacity
 	victims   []*unit
-	// loss is the credit that the stops cost.
-	loss float64
-	// late says that the job would still be late there.
-	late bool
+	// loss is the value that the stops cost, and value what the candidate's job is then worth.
+	loss, value float64
 }
 
 // clear finds the cheapest runs to stop on openNodes so that count members fit; nil if they do
@@ -223,6 +205,11 @@
 	if missing > 0 {
 		return nil
 	}
+	slowest := math.Inf(1)
+	for _, n := range found.openNodes {
+		slowest = min(slowest, p.effectiveSpeed(c, n))
+	}
+	found.value = c.valueIn(p.s.Limits.StopTime.Seconds() + p.runSeconds(c, slowest))
 	return found
 }
 
@@ -253,20 +240,3 @@
 	}
 	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
 }
-
-// loss returns the credit that stopping a unit costs: the work that is lost, and the share of
-// the job's worth that this work stood for.
-func (s *Scheduler) loss(now time.Time, u *unit) float64 {
-	ran := runningFor(now, u)
-	if u.step.spec.Checkpointing {
-		// A stop makes a checkpoint, so only the restart is lost. It counts as at most one
-		// checkpoint period of work.
-		ran = min(ran, s.Limits.CheckpointPeriod)
-	}
-	spec := u.step.spec
-	cores := float64(spec.Needs.MilliCores)/1000 + coresPerAccelerator*float64(spec.Needs.Accelerators)
-	members := float64(len(u.members))
-	j := u.step.job
-	workShare := ran.Seconds() * s.targetShare(spec) * members / max(j.work, 0.01)
-	return wasteCost*cores*members*ran.Seconds() + s.worth(j)*workShare + preemptionCost*float64(1+u.preempted)
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -31,6 +32,8 @@
 	jobs      map[string]*job
 	nodes     map[string]*node
 	estimates map[string]*estimate
+	// backlogs holds, by service, what waited at the end of the last pass.
+	backlogs map[string]backlog
 	// open holds the jobs that have not ended, and ordered the targets by ID.
 	open    map[string]*job
 	ordered []*node
@@ -82,6 +85,8 @@
 	StopTime time.Duration
 	// DrainTime is how long after a target has said that it drains runs may still be started there.
 	DrainTime time.Duration
+	// Policy holds the weights of decisions; the zero Policy stands for its defaults.
+	Policy policy.Policy
 }
 
 // Start is a run to be started once the writes of its step are durable.
@@ -124,6 +129,8 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
+		s.backlogs = map[string]backlog{}
+		s.Limits.Policy.Defaults()
 		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
 	}
 }
