--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -34,6 +35,8 @@
 	jobs      map[string]*job
 	nodes     map[string]*node
 	estimates map[string]*estimate
+	// backlogs holds, by service, what waited at the end of the last pass.
+	backlogs map[string]backlog
 	// open holds the jobs that have not ended, and ordered the targets by ID.
 	open    map[string]*job
 	ordered []*node
@@ -89,6 +92,8 @@
 	// CordonTime is how long after the request for a cordon was acknowledged starts in its zone have to
 	// have ended; 0 if there is no such bound.
 	CordonTime time.Duration
+	// Policy holds the weights of decisions; the zero Policy stands for its defaults.
+	Policy policy.Policy
 }
 
 // Start is a run to be started once the writes of its step are durable.
@@ -131,6 +136,8 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
+		s.backlogs = map[string]backlog{}
+		s.Limits.Policy.Defaults()
 		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
 	}
 }
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/loadcopy"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -63,6 +64,10 @@
 // Validate returns all mistakes, those found while decoding included, as one error of kind
 // Invalid, or nil.
 func (f *Front) Validate() error {
+	weights := f.SchedulingPolicy()
+	for _, problem := range weights.Validate() {
+		f.decoder.Report("policy."+problem.Key, problem.Remedy, "%s", problem.Text)
+	}
 	f.validateAdmission()
 	return decoder.Err(f.decoder.Problems)
 }
@@ -79,3 +84,11 @@
 		f.decoder.Report("admission.maxDigestAge", "use a duration of at least "+minDigestAge.String(), "%s is below %s; the planner writes a digest each 2 s while jobs wait", age, minDigestAge)
 	}
 }
+
+// SchedulingPolicy returns the policy that the settings describe; a nil Front has the default one.
+func (f *Front) SchedulingPolicy() policy.Policy {
+	if f == nil {
+		return policy.FromSettings(nil)
+	}
+	return policy.FromSettings(f.GetPolicy())
+}
