A successor knows when the leases of silent targets have ended

Cause: a new planner knows nothing of targets that its predecessor has found silent, and waits for 8 s and a lease before it gives their runs up, at each change of the planner anew. From before the write until a later record without it is durable, such a target gets no lease and no start. A successor counts from its read, keeps to the promise until it has written a record of its own, and takes the record only if it was written in the term just before, and only for the incarnation that it knows. What is handed over also covers starts that may be carried out late; the full bound stays for everything else. The capacity that organisations have used passes through the record; nothing sets it yet.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -193,6 +193,10 @@
 		order.Deadline = s.plan.Deadline(time.Now(), a.targetID)
 		if !status.NeedsReport && !status.Unresponsive && acknowledged == status.LastEnd {
 			order.Wait = maxReportWait
+			if status.Withheld {
+				// Its leases are to be renewed as soon as that is allowed.
+				order.Wait = retryInterval
+			}
 		}
 	}
 	return order, status.Listing, true
--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -35,6 +35,8 @@
 	// speeds; nil if they are not to be written.
 	pending map[string]int32
 	speeds  map[string]float32
+	// handover is the record for a successor; nil if it is not to be written.
+	handover *wire.HandoverRecord
 }
 
 func newBatch() batch {
@@ -77,6 +79,7 @@
 		if time.Since(speedsAt) >= speedsPeriod {
 			next.speeds, speedsAt = s.plan.LogSpeeds(), time.Now()
 		}
+		next.handover = s.nextHandover(next.speeds != nil)
 		s.mu.Unlock()
 		if err := s.writeBatch(ctx, next); err != nil {
 			return err
@@ -158,7 +161,7 @@
 	return s.writeSummaries(ctx, next)
 }
 
-// writeSummaries writes the counts of pending jobs and the speeds of a batch.
+// writeSummaries writes the counts of pending jobs, the speeds and the record for a successor of a batch.
 func (s *session) writeSummaries(ctx context.Context, next batch) error {
 	puts := []keyvalue.Put{}
 	if next.pending != nil {
@@ -175,10 +178,21 @@
 		}
 		puts = append(puts, keyvalue.Put{Key: records.SpeedsKey, Value: value})
 	}
+	if next.handover != nil {
+		value, err := records.Encode(next.handover)
+		if err != nil {
+			return err
+		}
+		puts = append(puts, keyvalue.Put{Key: records.HandoverKey, Value: value})
+	}
 	if len(puts) == 0 {
 		return nil
 	}
-	return s.transact(ctx, puts, nil)
+	if err := s.transact(ctx, puts, nil); err != nil {
+		return err
+	}
+	s.handoverWritten(next.handover)
+	return nil
 }
 
 // transact commits a transaction that is conditional on the term and on the sequence, and
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -259,8 +259,9 @@
 }
 
 // requestReports lets the agents of targets that have not reported ask for a report: such targets
-// get no work. It starts the agents of new targets. It does so at most once per reportCheckInterval.
-// The session's lock must be held.
+// get no work. It starts the agents of new targets. If other targets are silent than a successor would
+// know, it has that written. It does all this at most once per reportCheckInterval. The session's lock
+// must be held.
 func (s *session) requestReports(now time.Time) {
 	if now.Sub(s.reportsRequested) < reportCheckInterval {
 		return
@@ -269,6 +270,9 @@
 	for _, id := range s.plan.SilentTargets(now) {
 		notify(s.agent(id).renewSignal)
 	}
+	if s.plan.HandoverChanged(now) {
+		notify(s.commitSignal)
+	}
 }
 
 // sleep waits for a duration. It returns false if ctx ended first.
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -102,7 +102,13 @@
 	targetIndex := d.random.IntN(targetCount)
 	d.trace.named("test").WithFields(log.Fields{"step": step, "kind": step % stepKinds, "host": host, "target": targetID(targetIndex)}).Info("step")
 	switch step % stepKinds {
-	case 0, 1, 2, 3:
+	case 0, 1, 2:
+		d.submit()
+	case 3:
+		if step >= variantStep {
+			d.replacePlannersOfSilentTargets(targetIndex)
+			break
+		}
 		d.submit()
 	case 4:
 		d.cancel()
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -204,19 +204,24 @@
 }
 
 func (d *deployment) submit() {
-	d.submitted++
-	id := fmt.Sprintf("%016x", d.submitted)
-	job := &workload.Job{ID: id, Payload: "payload of " + id}
 	first := workload.Step{
 		Count: 1 + d.random.IntN(4), Estimate: time.Duration(1+d.random.IntN(4)) * time.Second, Gang: d.random.IntN(2) == 0, SameRack: d.random.IntN(2) == 0,
 		Needs: workload.Resources{MilliCores: 2000, MemoryMB: 100 + 100*int64(d.random.IntN(4)), Accelerators: int64(d.random.IntN(3))},
 	}
-	job.Steps = []workload.Step{first}
+	steps := []workload.Step{first}
 	if d.random.IntN(3) == 0 {
 		second := first
 		second.After, second.Gang = []int{0}, false
-		job.Steps = append(job.Steps, second)
+		steps = append(steps, second)
 	}
+	d.submitSteps(steps...)
+}
+
+// submitSteps submits a job with the given steps to one of the queues.
+func (d *deployment) submitSteps(steps ...workload.Step) {
+	d.submitted++
+	id := fmt.Sprintf("%016x", d.submitted)
+	job := &workload.Job{ID: id, Payload: "payload of " + id, Steps: steps}
 	d.fleet.ExpectJob(job)
 	call, err := d.intake.Admit("", "h", fmt.Sprintf("/q%d/%s", d.random.IntN(3), id), "k")
 	if err != nil {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -90,11 +90,11 @@
 		return
 	}
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
-	if status.Unresponsive {
+	if status.Unresponsive || status.Withheld {
 		wanted := s.plan.StartHeldBack(time.Now(), start)
 		s.mu.Unlock()
 		if wanted {
-			a.holdBack(ctx, start, "the target leaves renewals unanswered")
+			a.holdBack(ctx, start, "the target leaves renewals unanswered, or did so last that a successor knows")
 		}
 		return
 	}
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// tryLoad reads targets, jobs, progress and speeds once and passes them to the scheduler.
+// tryLoad reads targets, jobs, progress, speeds and what the former planner handed over once and passes them
+// to the scheduler.
 func (s *session) tryLoad(ctx context.Context) error {
 	targets, targetsRevision, err := s.Store.List(ctx, s.TargetPrefix)
 	if err != nil {
@@ -63,6 +64,10 @@
 			return err
 		}
 	}
+	handover, err := s.Store.Get(ctx, records.HandoverKey)
+	if err != nil {
+		return err
+	}
 	progress, unreadable := s.decodeProgress(progressItems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,6 +77,7 @@
 		s.plan.Configure(current)
 	}
 	s.plan.InheritLogSpeeds(time.Now(), speeds.GetLogSpeeds())
+	s.inheritHandover(handover)
 	for _, item := range targets {
 		s.processTarget(item)
 	}
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -46,6 +46,7 @@
 	// On the clock of the new incarnation a deadline of the former one is far ahead, so an order that
 	// was sent until now may have given it a whole lease.
 	n.recordLease(now, s.Limits.TaskLease)
+	delete(s.handover.inherited, n.ID)
 	former := n.Born
 	n.Born, n.clock, n.clockAt, n.leaseEnd, n.lastEnd, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
 	for _, m := range n.sortedMembers() {
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -75,8 +76,10 @@
 	sorted []*member
 	// lateStarts holds the starts that were not answered, and unknownStops when a listed run that
 	// is not known was last stopped.
-	lateStarts   map[target.Run]*lateStart
-	unknownStops map[target.Run]time.Time
+	lateStarts map[target.Run]*lateStart
+	// startsUnderWay holds the starts that were sent and of which neither an answer nor its lack is known.
+	startsUnderWay map[target.Run]bool
+	unknownStops   map[target.Run]time.Time
 	// blockedUntil is when the target may be given new work again after a refusal, a failure or
 	// a stalled run.
 	blockedUntil time.Time
@@ -106,7 +109,7 @@
 func (s *Scheduler) node(now time.Time, id string) *node {
 	n := s.nodes[id]
 	if n == nil {
-		n = &node{Listing: target.Listing{ID: id}, knownSince: now, members: map[target.Run]*member{}}
+		n = &node{Listing: target.Listing{ID: id}, knownSince: now, members: map[target.Run]*member{}, startsUnderWay: map[target.Run]bool{}}
 		n.setUsualSpeed(0)
 		s.nodes[id] = n
 		at, _ := slices.BinarySearchFunc(s.ordered, id, compareID)
@@ -195,11 +198,11 @@
 
 // Deadline returns the end, on the target's clock, of a lease granted now, and records that
 // the target may have it. It returns 0, which grants nothing, while the target's clock is not
-// known or the target is unresponsive: it may have restarted, and on the new incarnation's clock
-// each such deadline would be a long lease.
+// known, while a successor may count on there being none, or while the target is unresponsive: it may have
+// restarted, and on the new incarnation's clock each such deadline would be a long lease.
 func (s *Scheduler) Deadline(now time.Time, id string) time.Duration {
 	n := s.nodes[id]
-	if n == nil || n.clockAt.IsZero() || n.unresponsive(now) {
+	if n == nil || n.clockAt.IsZero() || n.unresponsive(now) || s.isWithheld(id) {
 		return 0
 	}
 	lease := s.Limits.TaskLease
@@ -242,16 +245,25 @@
 }
 
 // leasesEnded reports whether every lease on the target is known to have ended.
-func (s *Scheduler) leasesEnded(now time.Time, n *node) bool {
-	if !now.After(n.leaseOverAt) {
-		return false
-	}
+func (s *Scheduler) leasesEnded(now time.Time, n *node) bool { return now.After(s.leasesEndAt(now, n)) }
+
+// leasesEndAt returns the earliest time, on the planner's clock, after which every lease on the target is
+// known to have ended if no more are granted.
+func (s *Scheduler) leasesEndAt(now time.Time, n *node) time.Time {
 	if !n.contacted {
-		// It is not known which leases a former planner granted, and it may have renewed them
-		// until the horizon.
-		return now.Sub(n.knownSince) > s.Limits.RenewalHorizon+longestLease(s.Limits.TaskLease)
+		// It is not known which leases a former planner granted, unless the last one wrote it, and it may
+		// have renewed them until the horizon.
+		end := n.knownSince.Add(s.Limits.RenewalHorizon + longestLease(s.Limits.TaskLease))
+		if inherited := s.inheritedEnd(n); inherited != nil && inherited.Before(end) {
+			end = *inherited
+		}
+		return later(n.leaseOverAt, end)
+	}
+	left := n.leaseEnd - n.clockLowerBound(now)
+	if left < 0 {
+		return n.leaseOverAt
 	}
-	return n.clockLowerBound(now) > n.leaseEnd
+	return later(n.leaseOverAt, now.Add(time.Duration(math.Ceil(float64(left)/minClockRate))))
 }
 
 // expire closes the runs on targets whose leases are known to have ended, and removes unlisted
@@ -280,9 +292,12 @@
 // isGivenUp reports whether the runs of a silent target whose leases have ended are given up. A
 // target with an entry is alive: the runs have ended there, and its report says how.
 func (n *node) isGivenUp(now time.Time) bool {
-	if !n.listed || !n.contacted {
+	if !n.listed {
 		return true
 	}
+	if !n.contacted {
+		return now.Sub(n.knownSince) >= listedSilence
+	}
 	if n.silentSince.Before(n.lastContact) {
 		n.silentSince = now
 	}
@@ -290,7 +305,9 @@
 }
 
 // removed reports whether the target is neither listed nor able to run anything.
-func (n *node) removed() bool { return !n.listed && len(n.members) == 0 && len(n.lateStarts) == 0 }
+func (n *node) removed() bool {
+	return !n.listed && len(n.members) == 0 && len(n.lateStarts) == 0 && len(n.startsUnderWay) == 0
+}
 
 // loseRun logs and closes a run that is known to be no longer alive on its target.
 func (s *Scheduler) loseRun(now time.Time, m *member, reason string) {
@@ -316,6 +333,8 @@
 	// Unresponsive says that the target has left a renewal unanswered for longer than
 	// unresponsiveAfter.
 	Unresponsive bool
+	// Withheld says that no lease and no start is granted, because a successor may count on that.
+	Withheld bool
 	// TakesNoStarts says that the target drains and that a start may arrive there too late.
 	TakesNoStarts bool
 }
@@ -328,7 +347,7 @@
 	}
 	return TargetStatus{
 		Listing: n.Listing, HasRuns: len(n.members)+len(n.unknownStops) > 0, NeedsReport: !n.contacted || n.unresponsive(now), LastEnd: n.lastEnd, Removed: n.removed(),
-		Unresponsive: n.unresponsive(now), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
+		Unresponsive: n.unresponsive(now), Withheld: s.isWithheld(id), TakesNoStarts: n.takesNoStarts(now, s.Limits.DrainTime),
 	}
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -100,7 +100,7 @@
 
 // isEligible reports whether a target may be given new work.
 func (p *pass) isEligible(n *node) bool {
-	if !n.listed || n.Draining || !n.contacted || n.unresponsive(p.now) {
+	if !n.listed || n.Draining || !n.contacted || n.unresponsive(p.now) || p.s.isWithheld(n.ID) {
 		return false
 	}
 	if n.blockedUntil.After(p.now) {
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -21,6 +21,7 @@
 		n.recordLease(now, s.Limits.TaskLease)
 	}
 	n.contacted, n.lastContact, n.clock, n.clockAt = true, now, report.Clock, now
+	delete(s.handover.inherited, id)
 	for _, end := range report.Ended {
 		if end.Number > n.lastEnd {
 			n.lastEnd = end.Number
@@ -214,12 +215,15 @@
 // StartAnswered handles the answer to a start.
 func (s *Scheduler) StartAnswered(now time.Time, start Start, reply target.Reply) {
 	m := s.member(start.Target, start.Run)
-	if n := s.nodes[start.Target]; n != nil && reply.Answer == target.Unanswered {
-		born := n.Born
-		if m != nil {
-			born = m.sentTo
+	if n := s.nodes[start.Target]; n != nil {
+		delete(n.startsUnderWay, start.Run)
+		if reply.Answer == target.Unanswered {
+			born := n.Born
+			if m != nil {
+				born = m.sentTo
+			}
+			n.recordLateStart(now, start.Run, born)
 		}
-		n.recordLateStart(now, start.Run, born)
 	}
 	if m == nil {
 		return
@@ -278,10 +282,11 @@
 		return false
 	}
 	m.state, m.sentTo = memberStartSent, m.node.Born
+	m.node.startsUnderWay[start.Run] = true
 	return true
 }
 
-// StartHeldBack handles a start that is not sent because its target is unresponsive. A start that
+// StartHeldBack handles a start that is not sent because its target is unresponsive or withheld. A start that
 // was never sent is withdrawn, so that its task can start elsewhere at once. It reports whether
 // the start is still wanted.
 func (s *Scheduler) StartHeldBack(now time.Time, start Start) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,6 +24,10 @@
 	Limits Limits
 	// Log receives one event for each decision; nil discards them.
 	Log func(event string, fields Fields)
+	// Usage returns the capacity that each organisation has used, for a successor, and InheritUsage takes over
+	// what a former planner wrote; nil for none.
+	Usage        func(now time.Time) map[string]float64
+	InheritUsage func(now time.Time, used map[string]float64)
 
 	catalogue *catalogue.Catalogue
 	// jobs and nodes hold the known jobs and targets by ID; estimates holds one estimate for
@@ -53,6 +57,8 @@
 	starts []Start
 	stops  []Stop
 	wake   time.Time
+	// handover is what passes from planner to planner.
+	handover handover
 
 	// observations are what the next fit uses; hasNewObservations says that some have changed
 	// since lastFit.
@@ -125,6 +131,7 @@
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
 		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
+		s.handover.withheld, s.handover.inherited = map[string]int64{}, map[string]inheritedSilence{}
 	}
 }
 
