Merge handover: a successor knows when the leases of silent targets have ended

Conflicts: fields beside those of the load digest and of suspect targets; a repeat of an unanswered start is not sent to a withheld target either. On the merge TestCordonsHoldUnderFaults failed, 6 of 6: all targets that were left were paused for 4 to 8 s after failed runs. A pause now holds only while other targets are left; refusals have a pause of their own. Measured: the tests of scheduler, coordinator and loadmodel pass.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -38,6 +38,8 @@
 	speeds  map[string]float32
 	// load is the digest of the load; nil if it is not to be written.
 	load *load.Digest
+	// handover is the record for a successor; nil if it is not to be written.
+	handover *wire.HandoverRecord
 }
 
 func newBatch() batch {
@@ -81,6 +83,7 @@
 			next.speeds, speedsAt = s.plan.LogSpeeds(), time.Now()
 		}
 		next.load = s.dueLoad(time.Now(), next.pending != nil || len(next.speeds) > 0)
+		next.handover = s.nextHandover(next.speeds != nil)
 		s.mu.Unlock()
 		if err := s.writeBatch(ctx, next); err != nil {
 			return err
@@ -162,7 +165,8 @@
 	return s.writeSummaries(ctx, next)
 }
 
-// writeSummaries writes the counts of pending jobs, the speeds and the digest of the load of a batch.
+// writeSummaries writes the counts of pending jobs, the speeds, the digest of the load and the record for a
+// successor of a batch.
 func (s *session) writeSummaries(ctx context.Context, next batch) error {
 	puts := []keyvalue.Put{}
 	if next.pending != nil {
@@ -186,10 +190,21 @@
 		}
 		puts = append(puts, put)
 	}
+	if next.handover != nil {
+		value, err := records.Encode(next.handover)
+		if err != nil {
+			return err
+		}
+		puts = append(puts, keyvalue.Put{Key: records.HandoverKey, Value: value})
+	}
 	if len(puts) == 0 {
 		return nil
 	}
-	return s.transact(ctx, puts, nil)
+	if err := s.transact(ctx, puts, nil); err != nil {
+		return err
+	}
+	s.handoverWritten(next.handover)
+	return nil
 }
 
 // transact commits a transaction that is conditional on the term and on the sequence, and
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -131,12 +131,12 @@
 		return
 	}
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
-	if status.Suspect || status.Unresponsive {
+	if status.Suspect || status.Unresponsive || status.Withheld {
 		wanted := s.plan.StartHeldBack(time.Now(), start)
-		if !wanted || status.Unresponsive {
+		if !wanted || status.Unresponsive || status.Withheld {
 			s.mu.Unlock()
 			if wanted {
-				a.holdBack(ctx, start, "the target leaves renewals unanswered")
+				a.holdBack(ctx, start, "the target leaves renewals unanswered, or did so last that a successor knows")
 			}
 			return
 		}
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -33,7 +33,8 @@
 	}
 }
 
-// tryLoad reads targets, jobs, progress and speeds once and passes them to the scheduler.
+// tryLoad reads targets, jobs, progress, speeds and what the former planner handed over once and passes them
+// to the scheduler.
 func (s *session) tryLoad(ctx context.Context) error {
 	targets, targetsRevision, err := s.Store.List(ctx, s.TargetPrefix)
 	if err != nil {
@@ -67,6 +68,10 @@
 	if err != nil {
 		return err
 	}
+	handover, err := s.Store.Get(ctx, records.HandoverKey)
+	if err != nil {
+		return err
+	}
 	progress, unreadable := s.decodeProgress(progressItems)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,6 +84,7 @@
 	if formerLoad != nil {
 		s.plan.InheritLoad(formerLoad)
 	}
+	s.inheritHandover(handover)
 	for _, item := range targets {
 		s.processTarget(item)
 	}
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -15,12 +15,9 @@
 	if cap(p.capacities) < len(s.ordered) {
 		p.capacities = make([]freeCapacity, 0, len(s.ordered))
 	}
-	for _, n := range s.ordered {
-		if !p.isEligible(n) {
-			continue
-		}
-		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used)})
-		p.add(&p.capacities[len(p.capacities)-1])
+	p.addEligible(false)
+	if len(p.openNodes) == 0 {
+		p.addEligible(true)
 	}
 	for i := range p.capacities {
 		open := &p.capacities[i]
@@ -28,6 +25,18 @@
 	}
 }
 
+// addEligible adds the targets that may be given new work. Those that pause after failures are left out unless
+// that would leave none: a pause only helps where others can take the work.
+func (p *pass) addEligible(ignorePauses bool) {
+	for _, n := range p.s.ordered {
+		if !p.isEligible(n, ignorePauses) {
+			continue
+		}
+		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used)})
+		p.add(&p.capacities[len(p.capacities)-1])
+	}
+}
+
 // empty empties the lists of the last pass and keeps their memory.
 func (p *pass) empty() {
 	if p.unplaceable == nil {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -101,12 +101,16 @@
 }
 
 // isEligible reports whether a target may be given new work.
-func (p *pass) isEligible(n *node) bool {
-	if !n.listed || n.Draining || p.s.isCordoned(n) || !n.contacted || n.suspect || n.unresponsive(p.now) {
+func (p *pass) isEligible(n *node, ignorePauses bool) bool {
+	if !n.listed || n.Draining || p.s.isCordoned(n) || !n.contacted || n.suspect || n.unresponsive(p.now) || p.s.isWithheld(n.ID) {
 		return false
 	}
-	if n.blockedUntil.After(p.now) {
-		p.s.wakeAt(n.blockedUntil)
+	until := n.refusedUntil
+	if !ignorePauses {
+		until = later(until, n.pausedUntil)
+	}
+	if until.After(p.now) {
+		p.s.wakeAt(until)
 		return false
 	}
 	return true
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -25,6 +25,7 @@
 		n.recordLease(now, s.Limits.TaskLease)
 	}
 	n.contacted, n.lastContact, n.clock, n.clockAt = true, now, report.Clock, now
+	delete(s.handover.inherited, id)
 	for _, end := range report.Ended {
 		if end.Number > n.lastEnd {
 			n.lastEnd = end.Number
@@ -191,7 +192,7 @@
 func (s *Scheduler) runFailed(now time.Time, n *node, u *unit) {
 	u.avoidTarget = n.ID
 	n.failures++
-	n.block(now.Add(min(failurePause<<min(n.failures-1, 4), maxFailurePause)))
+	n.pause(now.Add(min(failurePause<<min(n.failures-1, 4), maxFailurePause)))
 	if j := u.step.job; u.countFailure(u.run) && u.exhausted() && !ended(j.phase) {
 		s.endJob(now, j, failedPhase, exhaustedReason)
 	}
@@ -209,21 +210,21 @@
 	return true
 }
 
-func (n *node) block(until time.Time) {
-	if until.After(n.blockedUntil) {
-		n.blockedUntil = until
-	}
-}
+// pause lets the target have no new work until a time, if others can take it.
+func (n *node) pause(until time.Time) { n.pausedUntil = later(n.pausedUntil, until) }
 
 // StartAnswered handles the answer to a start.
 func (s *Scheduler) StartAnswered(now time.Time, start Start, reply target.Reply) {
 	m := s.member(start.Target, start.Run)
-	if n := s.nodes[start.Target]; n != nil && reply.Answer == target.Unanswered {
-		born := n.Born
-		if m != nil {
-			born = m.sentTo
+	if n := s.nodes[start.Target]; n != nil {
+		delete(n.startsUnderWay, start.Run)
+		if reply.Answer == target.Unanswered {
+			born := n.Born
+			if m != nil {
+				born = m.sentTo
+			}
+			n.recordLateStart(now, start.Run, born)
 		}
-		n.recordLateStart(now, start.Run, born)
 	}
 	if m == nil {
 		return
@@ -249,7 +250,7 @@
 // startRefused handles a start that the target refused.
 func (s *Scheduler) startRefused(now time.Time, m *member, answer target.Answer) {
 	s.log("start refused", m.fields(now).with(Fields{"answer": answer.String(), "used": m.node.used}))
-	m.node.block(now.Add(refusalPause))
+	m.node.refusedUntil = later(m.node.refusedUntil, now.Add(refusalPause))
 	m.unit.notBefore = now.Add(retryPause)
 	if m.startUnanswered {
 		// An earlier copy of the order may have been carried out, or may be carried out later.
@@ -287,11 +288,12 @@
 		return false
 	}
 	m.state, m.sentTo = memberStartSent, m.node.Born
+	m.node.startsUnderWay[start.Run] = true
 	return true
 }
 
-// StartHeldBack handles a start whose target is suspect or unresponsive. A start that was never sent is
-// withdrawn, so that its task can start elsewhere at once. It reports whether the start is still wanted:
+// StartHeldBack handles a start whose target is suspect, unresponsive or withheld. A start that was never sent
+// is withdrawn, so that its task can start elsewhere at once. It reports whether the start is still wanted:
 // one that was sent before may be repeated.
 func (s *Scheduler) StartHeldBack(now time.Time, start Start) bool {
 	m := s.wantedStart(start)
