Scheduler prefers the work of organisations below their fair part

Within a rank candidates were ordered by their jobs' value alone, so an organisation that submitted more than the others delayed all of them. The scheduler now charges what runs to a share.Ledger: attach and close keep the use of each organisation, and the capacity of a service is added up with the check of all targets. Scores, and the loss of runs that could be stopped, are multiplied by the organisation's factor, while the last pass left candidates unplaced. [policy] shareHalfLife sets the half-life. The log names organisation and factor.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,7 @@
 // Entry is a host that serves batch queues. Set the exported fields before Run.
 type Entry struct {
 	Settings Settings
-	// Own holds the product's own settings.
+	// Own holds the product's own settings; nil switches off what they configure.
 	Own     *settings.Front
 	Store   keyvalue.Service
 	Targets target.Targets
@@ -150,7 +150,7 @@
 func (e *Entry) newElection() *term.Election {
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
-		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.Settings.limits(), Metrics: e.Registry, Log: e.Log,
+		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.limits(), Metrics: e.Registry, Log: e.Log,
 	}
 	lead := func(ctx context.Context, current *term.Term) error {
 		e.follower.SetPlanning(e.Settings.CordonTime)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -67,13 +67,18 @@
 	return nil
 }
 
-// limits returns the scheduler's limits that follow from the settings.
-func (s *Settings) limits() scheduler.Limits {
-	return scheduler.Limits{
+// limits returns the scheduler's limits that follow from the settings of the host and of the product.
+func (e *Entry) limits() scheduler.Limits {
+	s := &e.Settings
+	limits := scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
 		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime, CordonTime: s.CordonTime,
 	}
+	if e.Own != nil {
+		limits.ShareHalfLife = e.Own.Policy.ShareHalfLife.AsDuration()
+	}
+	return limits
 }
 
 // delay returns how much later than the best suited hosts this one competes for the term.
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -110,7 +110,8 @@
 }
 
 // candidates returns the steps with units to start in the order in which they are placed:
-// by rank; within a rank, overdue guarantees by due time and all others by score.
+// by rank; within a rank, overdue guarantees by due time and all others by score, which includes the factor
+// of their organisation's share.
 func (s *Scheduler) candidates(now time.Time) []*candidate {
 	guaranteeCovered := s.guaranteeCovered()
 	var out []*candidate
@@ -133,6 +134,7 @@
 			}
 		}
 	}
+	s.applyShares(now, out)
 	slices.SortFunc(out, func(a, b *candidate) int {
 		if byRank := cmp.Compare(b.rank(), a.rank()); byRank != 0 {
 			return byRank
--- a/internal/scheduler/consistency_test.go
+++ b/internal/scheduler/consistency_test.go
@@ -37,7 +37,7 @@
 func newSequence(seed uint64) *sequence {
 	s := &sequence{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
-		Scheduler: &Scheduler{Limits: Limits{TaskLease: 6 * time.Second, RenewalHorizon: 8 * time.Second, RemoteFactor: 3, Retention: 20 * time.Second, CheckpointPeriod: time.Second, StopTime: 200 * time.Millisecond}},
+		Scheduler: &Scheduler{Limits: Limits{TaskLease: 6 * time.Second, RenewalHorizon: 8 * time.Second, RemoteFactor: 3, Retention: 20 * time.Second, CheckpointPeriod: time.Second, StopTime: 200 * time.Millisecond, ShareHalfLife: 10 * time.Second}},
 	}
 	queues := []catalogue.Queue{{Name: "q0", Service: "s", MaxAttempts: 3, StretchFactor: 1.5}, {Name: "q1", Service: "s", Priority: 1, MaxAttempts: 2, StretchFactor: 3}, {Name: "q2", Service: "s", Priority: 2, MaxAttempts: 3, StretchFactor: 3}}
 	s.Configure(&catalogue.Catalogue{Version: 1, Queues: queues, Organisations: map[string]catalogue.Organisation{"o": {Name: "o", GuaranteedAccelerators: 8}}})
@@ -155,10 +155,13 @@
 	if have := s.Targets(); !slices.Equal(have, names) {
 		return fmt.Sprintf("ordered targets: have %v, want %v", have, names)
 	}
+	uses := map[*organisationUse]organisationUse{}
 	for id, n := range s.nodes {
 		used := workload.Resources{}
 		for run, m := range n.members {
 			used = used.Plus(m.unit.step.spec.CapacityUse())
+			total := uses[m.use]
+			uses[m.use] = organisationUse{amount: total.amount.Plus(m.unit.step.spec.CapacityUse()), members: total.members + 1}
 			if m.run != run || !slices.Contains(n.sorted, m) || !slices.Contains(m.unit.members, m) {
 				return fmt.Sprintf("%s: %v is not listed everywhere", id, run)
 			}
@@ -167,6 +170,15 @@
 			return fmt.Sprintf("%s: have %d runs with %v used, want %d with %v", id, len(n.sorted), n.used, len(n.members), used)
 		}
 	}
+	for _, u := range s.shares.uses {
+		if want := uses[u]; u.amount != want.amount || u.members != want.members {
+			return fmt.Sprintf("use of %s by %s: have %d runs with %v, want %d with %v", u.service, u.organisation, u.members, u.amount, want.members, want.amount)
+		}
+		delete(uses, u)
+	}
+	if len(uses) > 0 {
+		return fmt.Sprintf("have %d uses with runs that are not listed", len(uses))
+	}
 	for id, j := range s.Scheduler.jobs {
 		if _, open := s.open[id]; open == ended(j.phase) {
 			return fmt.Sprintf("job %s: open %t with phase %v", id, open, j.phase)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -88,6 +88,8 @@
 	unit  *unit
 	index int
 	node  *node
+	// use is what its organisation uses, this member included.
+	use *organisationUse
 	// run is the run as its target knows it.
 	run   target.Run
 	state memberState
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -87,6 +87,7 @@
 // place starts the units for which there is free capacity, in the order of the candidates.
 func (s *Scheduler) place(now time.Time) {
 	candidates := s.candidates(now)
+	s.shares.short = false
 	if len(candidates) == 0 {
 		return
 	}
@@ -116,6 +117,7 @@
 	requirements := c.requirements()
 	for _, u := range c.startableUnits {
 		if p.unplaceable[requirements] {
+			p.s.shares.short = true
 			break
 		}
 		var chosen placement
@@ -125,11 +127,12 @@
 			chosen = p.placeTask(c, u)
 		}
 		if chosen.openNodes == nil {
-			p.unplaceable[requirements] = true
+			p.unplaceable[requirements], p.s.shares.short = true, true
 			p.reserve(c)
 			break
 		}
 		if p.preemptFaster(c, chosen) {
+			p.s.shares.short = true
 			break
 		}
 		p.startRun(c, u, chosen)
@@ -257,6 +260,7 @@
 		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
 		p.s.log("run placed", m.fields(p.now).with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "guaranteed": c.guaranteed,
+			"organisation": j.Organisation, "shareFactor": p.s.shareFactor(j),
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
 		}))
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -34,7 +34,8 @@
 // victim is a unit whose run could be stopped to free capacity.
 type victim struct {
 	unit *unit
-	// loss is the credit that stopping it costs.
+	// loss is the credit that stopping it costs, times the share factor of its organisation: those above
+	// their fair part lose runs first.
 	loss float64
 }
 
@@ -239,7 +240,7 @@
 		if m.state == memberAwaitingWrite || u.step.spec.LongRunning || slices.ContainsFunc(n.victims, known) {
 			continue
 		}
-		n.victims = append(n.victims, victim{unit: u, loss: p.s.loss(p.now, u)})
+		n.victims = append(n.victims, victim{unit: u, loss: p.s.loss(p.now, u) * p.s.shareFactor(u.step.job)})
 	}
 	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
 	return n.victims
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// attach adds a member to its unit and to the runs and the used resources of its target.
+// attach adds a member to its unit, to the runs and the used resources of its target and to the use of its
+// organisation.
 func (s *Scheduler) attach(m *member) {
 	u, n := m.unit, m.node
 	if len(u.members) == 0 && !u.done {
@@ -127,6 +128,7 @@
 	at, _ := slices.BinarySearchFunc(n.sorted, m, compareMembers)
 	n.sorted = slices.Insert(n.sorted, at, m)
 	n.used = n.used.Plus(u.step.spec.CapacityUse())
+	s.openUse(m)
 }
 
 // unit finds a unit by its position; nil if there is none. A gang has one unit.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,6 +52,7 @@
 	// checkedAt is when the conditions that depend on the time alone were last checked.
 	checkedAt time.Time
 	pass      pass
+	shares    shares
 	// starts, stops and wake are collected for the plan of the next step.
 	starts []Start
 	stops  []Stop
@@ -88,6 +89,9 @@
 	// CordonTime is how long after the request for a cordon was acknowledged starts in its zone have to
 	// have ended; 0 if there is no such bound.
 	CordonTime time.Duration
+	// ShareHalfLife is the time after which capacity that an organisation used counts half when
+	// organisations compete; 0 if their use is not considered.
+	ShareHalfLife time.Duration
 }
 
 // Start is a run to be started once the writes of its step are durable.
@@ -264,7 +268,7 @@
 func (s *Scheduler) stopMember(now time.Time, m *member, reason string) {
 	m.stopDecided = now
 	s.stops = append(s.stops, Stop{Run: m.run, Target: m.node.ID})
-	s.log("run stopped", m.fields(now).with(Fields{"reason": reason}))
+	s.log("run stopped", m.fields(now).with(Fields{"reason": reason, "organisation": m.unit.step.job.Organisation, "shareFactor": s.shareFactor(m.unit.step.job)}))
 }
 
 // logClosed logs that a member is about to be closed, unless it is closed already.
@@ -284,6 +288,7 @@
 	}
 	u.members = slices.Concat(u.members[:i], u.members[i+1:])
 	m.node.remove(m)
+	m.closeUse()
 	if len(u.members) == 0 && !u.done {
 		u.step.idleUnits++
 	}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -19,7 +19,9 @@
 		s.checkedAt = now
 		s.expire(now)
 		s.moveSlowRuns(now)
+		s.countServices()
 	}
+	s.chargeShares(now)
 	if slices.ContainsFunc(s.ordered, func(n *node) bool { return len(n.sorted) > 0 }) {
 		s.wakeAt(s.checkedAt.Add(checkInterval))
 	}
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -6,6 +6,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/backoff"
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/share"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -43,6 +44,7 @@
 	if f.Policy == nil {
 		f.Policy = &wire.PolicySettings{}
 	}
+	setDuration(&f.Policy.ShareHalfLife, share.DefaultHalfLife)
 	if f.Admission == nil {
 		f.Admission = &wire.AdmissionSettings{}
 	}
@@ -56,10 +58,17 @@
 // Validate returns all mistakes, those found while decoding included, as one error of kind
 // Invalid, or nil.
 func (f *Front) Validate() error {
+	f.validatePolicy()
 	f.validateAdmission()
 	return decoder.Err(f.decoder.Problems)
 }
 
+func (f *Front) validatePolicy() {
+	if halfLife := f.Policy.ShareHalfLife.AsDuration(); halfLife <= 0 {
+		f.decoder.Report("policy.shareHalfLife", `use a duration above 0, such as "10s"`, "%s is not above 0", halfLife)
+	}
+}
+
 func (f *Front) validateAdmission() {
 	shortest, longest := f.Admission.MinRetryAfter.AsDuration(), f.Admission.MaxRetryAfter.AsDuration()
 	if shortest <= 0 {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,11 +58,11 @@
 // Guards against bounds for returning callers that no delay can keep, and against defaults that get lost.
 func TestFrontAdmission(t *testing.T) {
 	have, err := settings.ParseFront("own.toml", nil)
-	if err != nil || have.Admission.MinRetryAfter.AsDuration() != 200*time.Millisecond || have.Admission.MaxRetryAfter.AsDuration() != 5*time.Second {
-		t.Errorf("ParseFront of an empty file: have %v, %v", have.Admission, err)
+	if err != nil || have.Admission.MinRetryAfter.AsDuration() != 200*time.Millisecond || have.Admission.MaxRetryAfter.AsDuration() != 5*time.Second || have.Policy.ShareHalfLife.AsDuration() != 10*time.Second {
+		t.Errorf("ParseFront of an empty file: have %v, %v, %v", have.Admission, have.Policy, err)
 	}
-	_, err = settings.ParseFront("own.toml", []byte("[admission]\nminRetryAfter = \"0s\"\nmaxRetryAfter = \"-1s\"\n"))
-	for _, want := range []string{"own.toml:2: admission.minRetryAfter: 0s is not above 0", "own.toml:3: admission.maxRetryAfter: -1s is below"} {
+	_, err = settings.ParseFront("own.toml", []byte("[admission]\nminRetryAfter = \"0s\"\nmaxRetryAfter = \"-1s\"\n[policy]\nshareHalfLife = \"0s\"\n"))
+	for _, want := range []string{"own.toml:2: admission.minRetryAfter: 0s is not above 0", "own.toml:3: admission.maxRetryAfter: -1s is below", "own.toml:5: policy.shareHalfLife: 0s is not above 0"} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("\nhave: %v\nwant: %s", err, want)
 		}
