Load model lets one organisation flood

The model drew the organisation of each job evenly, so it could not show what one organisation does to the others. Workload.Floods multiplies the submissions of one; the report has the worth by organisation.

--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -62,7 +62,7 @@
 	random := rand.New(rand.NewPCG(m.Seed, 0))
 	m.scheduler = &scheduler.Scheduler{Log: m.Log, Limits: scheduler.Limits{
 		TaskLease: taskLease, RenewalHorizon: renewalHorizon, RemoteFactor: m.Workload.RemoteFactor, Retention: retention,
-		CheckpointPeriod: checkpointPeriod, StopTime: stopTime,
+		CheckpointPeriod: checkpointPeriod, StopTime: stopTime, ShareHalfLife: m.Workload.ShareHalfLife,
 	}}
 	m.scheduler.Configure(m.Workload.catalogue())
 	m.fleet = newFleet(&m.Workload, random)
--- a/internal/loadmodel/loadmodel_test.go
+++ b/internal/loadmodel/loadmodel_test.go
@@ -90,3 +90,33 @@
 		})
 	}
 }
+
+// Guards against: an organisation that floods a queue delays the jobs of the others.
+func TestFloodOfOneOrganisation(t *testing.T) {
+	const enough = 0.98
+	for seed := uint64(1); seed <= 3; seed++ {
+		w := loadmodel.Mixed(24)
+		small := &w.Classes[2]
+		small.PerSecond, small.MeanTasks, small.MaxTasks, small.MeanWork, small.FailureShare, small.CancelShare = 18, 4, 12, 2*time.Second, 0, 0
+		small.Queue.StretchFactor, small.Queue.RuntimeObjective = 2, time.Second
+		w.Classes, w.Organisations, w.Length = w.Classes[2:], 5, 20*time.Second
+		w.Floods = []loadmodel.Flood{{Organisation: 0, Factor: 5, From: 3 * time.Second, To: 11 * time.Second}}
+		with := worstOfOthers((&loadmodel.Model{Workload: w, Seed: seed}).Run())
+		w.ShareHalfLife = 0
+		without := worstOfOthers((&loadmodel.Model{Workload: w, Seed: seed}).Run())
+		if with < enough || without >= enough {
+			t.Errorf("seed %d: have a worth of %.3f of the worst other organisation, and %.3f without shares; want at least %.2f, and less without", seed, with, without, enough)
+		}
+	}
+}
+
+// worstOfOthers returns the lowest worth among the organisations that do not flood.
+func worstOfOthers(report *loadmodel.Report) float64 {
+	worst := 1.0
+	for organisation, worth := range report.Organisations {
+		if organisation != "organisation-00" {
+			worst = min(worst, worth)
+		}
+	}
+	return worst
+}
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -12,6 +12,8 @@
 // Report says what became of a run's jobs.
 type Report struct {
 	Classes []ClassReport
+	// Organisations holds the share of the credit owed to each organisation that was earned.
+	Organisations map[string]float64
 	// Worth is the share of the credit owed that was earned, over all classes.
 	Worth float64
 	// Wasted is the work that was thrown away, in core-seconds; an accelerator counts as 8 cores.
@@ -78,6 +80,7 @@
 // finishReport sums up the run.
 func (m *Model) finishReport() *Report {
 	earnedInAll, owedInAll := 0.0, 0.0
+	earnedBy, owedTo := map[string]float64{}, map[string]float64{}
 	for index := range m.Workload.Classes {
 		class := &m.Workload.Classes[index]
 		summary := ClassReport{Queue: class.Queue.Name}
@@ -97,13 +100,20 @@
 			}
 			scale := 0.3 + 0.7*min(a.size()/meanWork, 5.3)
 			owed += class.Worth * scale
-			earned += scale * summary.count(m.report.ended, a, class)
+			credit := scale * summary.count(m.report.ended, a, class)
+			earned += credit
+			owedTo[a.job.Organisation] += class.Worth * scale
+			earnedBy[a.job.Organisation] += credit
 		}
 		summary.MedianWait, summary.LongWait = percentile(waits, 0.5), percentile(waits, 0.95)
 		summary.Worth = earned / max(owed, 0.01)
 		earnedInAll, owedInAll = earnedInAll+earned, owedInAll+owed
 		m.report.Classes = append(m.report.Classes, summary)
 	}
+	m.report.Organisations = map[string]float64{}
+	for organisation, owed := range owedTo {
+		m.report.Organisations[organisation] = earnedBy[organisation] / max(owed, 0.01)
+	}
 	m.report.Worth = earnedInAll / max(owedInAll, 0.01)
 	return &m.report
 }
--- a/internal/loadmodel/workload.go
+++ b/internal/loadmodel/workload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/share"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -59,8 +60,12 @@
 	RemoteFactor float64
 	// Surges are times of more load than usual.
 	Surges []Surge
+	// Floods are times of more load from one organisation.
+	Floods []Flood
 	// Losses are times at which a part of the targets is lost.
 	Losses []Loss
+	// ShareHalfLife is the scheduler's limit of that name.
+	ShareHalfLife time.Duration
 }
 
 // Surge multiplies the submissions of one class for some time.
@@ -70,6 +75,13 @@
 	From, To time.Duration
 }
 
+// Flood multiplies the submissions of one organisation, in all classes, for some time.
+type Flood struct {
+	Organisation int
+	Factor       float64
+	From, To     time.Duration
+}
+
 // Loss removes a share of the targets at a time, with all that runs there.
 type Loss struct {
 	Share float64
@@ -84,7 +96,7 @@
 	scale := float64(targets) / 1100
 	return Workload{
 		Targets: targets, TargetsPerRack: 12, Capacity: workload.Resources{MilliCores: 128000, MemoryMB: 262144, Accelerators: 8},
-		Speeds: []float64{0.55, 1.2, 1.2, 1.2}, Organisations: 24, GuaranteedAccelerators: int64(12 * scale), Length: 30 * time.Second, RemoteFactor: 3,
+		Speeds: []float64{0.55, 1.2, 1.2, 1.2}, Organisations: 24, GuaranteedAccelerators: int64(12 * scale), Length: 30 * time.Second, RemoteFactor: 3, ShareHalfLife: share.DefaultHalfLife,
 		Classes: []Class{
 			{
 				Queue:     catalogue.Queue{Name: "urgent", Priority: 0, MaxAttempts: 4, StretchFactor: 1.5, RuntimeObjective: 250 * time.Millisecond},
@@ -151,7 +163,7 @@
 	var out []arrival
 	for i := range w.Classes {
 		for at := time.Duration(0); at < w.Length; {
-			rate := w.Classes[i].PerSecond * w.surgeAt(i, at)
+			rate := w.Classes[i].PerSecond * w.surgeAt(i, at) * (1 + w.floodAt(at)/float64(w.Organisations))
 			at += time.Duration(random.ExpFloat64() / max(rate, 0.01) * float64(time.Second))
 			if at < w.Length {
 				out = append(out, w.arrival(random, i, at, len(out)))
@@ -173,6 +185,34 @@
 	return factor
 }
 
+// floodAt returns how many times as much as usual the organisations that flood submit in addition at a time.
+func (w *Workload) floodAt(at time.Duration) float64 {
+	more := 0.0
+	for _, flood := range w.Floods {
+		if at >= flood.From && at < flood.To {
+			more += flood.Factor - 1
+		}
+	}
+	return more
+}
+
+// organisationAt draws the organisation of a job that is submitted at a time.
+func (w *Workload) organisationAt(random *rand.Rand, at time.Duration) string {
+	if more := w.floodAt(at); more > 0 {
+		drawn := random.Float64()*(float64(w.Organisations)+more) - float64(w.Organisations)
+		for _, flood := range w.Floods {
+			if at < flood.From || at >= flood.To {
+				continue
+			}
+			if drawn >= 0 && drawn < flood.Factor-1 {
+				return organisationName(flood.Organisation)
+			}
+			drawn -= flood.Factor - 1
+		}
+	}
+	return organisationName(random.IntN(w.Organisations))
+}
+
 func (w *Workload) arrival(random *rand.Rand, index int, at time.Duration, number int) arrival {
 	class := &w.Classes[index]
 	work := float64(class.MeanWork) * math.Exp(class.WorkSpread*random.NormFloat64()-class.WorkSpread*class.WorkSpread/2)
@@ -187,7 +227,7 @@
 		step.Gang, step.SameRack = true, random.Float64() < class.SameRackShare
 	}
 	a := arrival{at: at, class: index, work: time.Duration(work), job: &workload.Job{
-		ID: fmt.Sprintf("%016x", number+1), Queue: class.Queue.Name, Organisation: organisationName(random.IntN(w.Organisations)), Steps: []workload.Step{step},
+		ID: fmt.Sprintf("%016x", number+1), Queue: class.Queue.Name, Organisation: w.organisationAt(random, at), Steps: []workload.Step{step},
 	}}
 	if random.Float64() < class.CancelShare {
 		a.cancelAt = at + time.Duration(random.Int64N(int64(5*time.Second))) + time.Second
