Gauges of the used part and the factor of each organisation

The planner sets share.used.NAME and share.factor.NAME, in thousandths, at most each second, and removes them with the organisation's account or its term.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -116,6 +116,9 @@
 	commitSignal chan struct{}
 	// reportsRequested is when targets that have not reported were last looked for.
 	reportsRequested time.Time
+	// shareGauges holds the organisations that have gauges, which were last set at sharesMeasured.
+	shareGauges    map[string]bool
+	sharesMeasured time.Time
 	// pending holds the counts of pending jobs, by queue, that were last sent to the store.
 	pending map[string]int32
 }
@@ -126,10 +129,11 @@
 	defer cancel(nil)
 	s := &session{
 		Coordinator: c, currentTerm: currentTerm, context: ctx, cancel: cancel, agents: map[string]*agent{}, stepSignal: make(chan struct{}, 1),
-		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{}, submissions: map[string]int64{},
+		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{}, submissions: map[string]int64{}, shareGauges: map[string]bool{},
 	}
 	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
 	err := s.lead(ctx)
+	s.dropShareGauges(nil)
 	metrics.GetOrRegisterCounter("coordinator.termEnded."+termEndReason(err), c.Metrics).Inc(1)
 	return err
 }
@@ -255,6 +259,7 @@
 	}
 	s.enqueue(plan)
 	s.requestReports(now)
+	s.measureShares(now)
 	metrics.GetOrRegisterHistogram("scheduler.stepUs", s.Metrics, metrics.NewUniformSample(histogramSamples)).Update(time.Since(now).Microseconds())
 	if plan.Wake.IsZero() {
 		return maxStepInterval
