--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -86,8 +86,8 @@
 }
 
 // Compete finds the used and fair parts of the organisations that compete, which are those with work that
-// waits or runs, and the factors that follow. All factors are 1 while nothing is short; that of a single organisation, whose parts are
-// both the whole, is 1 too.
+// waits or runs, and the factors that follow. All factors are 1 while nothing is short. That of a single
+// organisation is 1 too, since both of its parts are the whole.
 func (l *Ledger) Compete(now time.Time, waiting map[string]bool, short bool) {
 	l.charge(now)
 	for organisation := range waiting {
