--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,7 +48,7 @@
 // Entry is a host that serves batch queues. Set the exported fields before Run.
 type Entry struct {
 	Settings Settings
-	// Own holds the product's own settings.
+	// Own holds the product's own settings; nil switches off what they configure.
 	Own     *settings.Front
 	Store   keyvalue.Service
 	Targets target.Targets
@@ -157,7 +157,7 @@
 func (e *Entry) newElection() *term.Election {
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
-		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.Settings.limits(e.Own.SchedulingPolicy()), PublishLoad: e.Load != nil,
+		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.limits(), PublishLoad: e.Load != nil,
 		Metrics: e.Registry, Log: e.Log,
 	}
 	lead := func(ctx context.Context, current *term.Term) error {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/decoder"
+	"github.com/eelgrasstide/eelgrasstide/internal/share"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -15,7 +16,7 @@
 	defaultPriorityStep   = 2
 	defaultWorkShare      = 0.5
 	defaultMaxPreemptions = 2
-	defaultShareHalfLife  = 10 * time.Second
+
 	// maxPriorityStep keeps the weights of a dozen priorities within the precision of a float64.
 	maxPriorityStep = 1000
 	// maxSizeFactor bounds what a job's work adds to its weight. Work is what callers state, so an
@@ -68,7 +69,7 @@
 // Defaults sets all fields to their defaults if none of them is set.
 func (p *Policy) Defaults() {
 	if *p == (Policy{}) {
-		*p = Policy{PriorityStep: defaultPriorityStep, WorkShare: defaultWorkShare, MaxPreemptions: defaultMaxPreemptions, ShareHalfLife: defaultShareHalfLife}
+		*p = Policy{PriorityStep: defaultPriorityStep, WorkShare: defaultWorkShare, MaxPreemptions: defaultMaxPreemptions, ShareHalfLife: share.DefaultHalfLife}
 	}
 }
 
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -50,9 +50,7 @@
 		s.handover.inherited[id] = inheritedSilence{born: silent.GetBorn(), leasesEndAt: now.Add(leasesEndIn)}
 		s.log("silent target inherited", Fields{"target": id, "born": silent.GetBorn(), "leasesEndIn": leasesEndIn})
 	}
-	if s.InheritUsage != nil {
-		s.InheritUsage(now, record.GetUsedTargetSeconds())
-	}
+	s.InheritUsage(now, record.GetUsedTargetSeconds())
 }
 
 // HandoverChanged reports whether other targets are silent than the last record says that was offered
@@ -81,9 +79,7 @@
 func (s *Scheduler) OfferHandover(now time.Time) *wire.HandoverRecord {
 	s.initialise()
 	record := &wire.HandoverRecord{SilentTargets: map[string]*wire.SilentTarget{}}
-	if s.Usage != nil {
-		record.UsedTargetSeconds = largestUsages(s.Usage(now))
-	}
+	record.UsedTargetSeconds = largestUsages(s.Usage())
 	silent := s.silentNodes(now)
 	if len(silent) == 0 && len(s.handover.withheld) == 0 && len(record.GetUsedTargetSeconds()) == 0 {
 		return nil
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -20,7 +20,9 @@
 		s.expire(now)
 		s.moveSlowRuns(now)
 		s.stopIncompleteGangs(now)
+		s.countServices()
 	}
+	s.chargeShares(now)
 	if slices.ContainsFunc(s.ordered, func(n *node) bool { return len(n.sorted) > 0 }) {
 		s.wakeAt(s.checkedAt.Add(checkInterval))
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,11 +59,11 @@
 func TestFrontAdmission(t *testing.T) {
 	have, err := settings.ParseFront("own.toml", nil)
 	if err != nil || have.Admission.MinRetryAfter.AsDuration() != 200*time.Millisecond || have.Admission.MaxRetryAfter.AsDuration() != 5*time.Second ||
-		have.Admission.GetRefuseByLoad() || have.Admission.MaxDigestAge.AsDuration() != 5*time.Second {
-		t.Errorf("ParseFront of an empty file: have %v, %v", have.Admission, err)
+		have.Admission.GetRefuseByLoad() || have.Admission.MaxDigestAge.AsDuration() != 5*time.Second || have.SchedulingPolicy().ShareHalfLife != 10*time.Second {
+		t.Errorf("ParseFront of an empty file: have %v, %v, %v", have.Admission, have.SchedulingPolicy(), err)
 	}
-	_, err = settings.ParseFront("own.toml", []byte("[admission]\nminRetryAfter = \"0s\"\nmaxRetryAfter = \"-1s\"\nmaxDigestAge = \"2s\"\n"))
-	for _, want := range []string{"own.toml:2: admission.minRetryAfter: 0s is not above 0", "own.toml:3: admission.maxRetryAfter: -1s is below", "own.toml:4: admission.maxDigestAge: 2s is below 3s"} {
+	_, err = settings.ParseFront("own.toml", []byte("[admission]\nminRetryAfter = \"0s\"\nmaxRetryAfter = \"-1s\"\nmaxDigestAge = \"2s\"\n[policy]\nshareHalfLife = \"0s\"\n"))
+	for _, want := range []string{"own.toml:2: admission.minRetryAfter: 0s is not above 0", "own.toml:3: admission.maxRetryAfter: -1s is below", "own.toml:4: admission.maxDigestAge: 2s is below 3s", "own.toml:6: policy.shareHalfLife: is not above 0"} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("\nhave: %v\nwant: %s", err, want)
 		}
