Operators cordon zones on the own interface

serve had no way to keep new work out of a zone. The record is cordon/ZONE in the own store. Each host watches it, and peers pass it on in heartbeats, with the record's revision, so that a host which starts without the store takes it and an outdated peer undoes nothing. A cordon that is lifted is replaced by a record that says so: a watch does not return deletions.

In a cordoned zone the router picks no runner and the planner starts no gang; short requests are refused at once, traces wait, and new gangs go to another zone if one is large enough. Running work goes on. A host is ready, and its planner runs, once the cordons are known.

New: zone cordon, zone uncordon, zone list, GET and POST /v1/operator/cordons. targets shows cordoned as the state, explain names the cordon. The demo cordons all zones and explains a gang that waits.

--- a/cmd/eelgrasstide/main.go
+++ b/cmd/eelgrasstide/main.go
@@ -65,7 +65,8 @@
 func commands() []command {
 	return []command{
 		serveCommand, frontCommand, checkCommand, applyCommand, configShowCommand, configDiffCommand, configHistoryCommand, configWaitCommand,
-		submitCommand, statusCommand, cancelCommand, explainCommand, reportCommand, hostsCommand, targetsCommand, organisationsCommand, versionCommand,
+		submitCommand, statusCommand, cancelCommand, explainCommand, reportCommand, hostsCommand, targetsCommand, organisationsCommand,
+		zoneCordonCommand, zoneUncordonCommand, zoneListCommand, versionCommand,
 	}
 }
 
@@ -106,6 +107,7 @@
 	app.Flag("credential", "Operator credential. Prefer the environment variable: other users of the machine can see the arguments.").Envar("EELGRASSTIDE_CREDENTIAL").StringVar(&flags.credential)
 	app.Flag("json", "Print JSON, for scripts, in the commands that support it.").BoolVar(&flags.json)
 	app.Command("config", "Show the configuration, compare it with files, list its revisions or wait for one.")
+	app.Command("zone", "Cordon an availability zone, so that it gets no new work, lift the cordon, or list the cordons.")
 	runByName := map[string]func(context.Context) error{}
 	for _, register := range commands() {
 		name, run := register(app, flags)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -213,12 +213,15 @@
 	return nil
 }
 
-// limit counts the work as in flight, or refuses it if this host is stopping or the rule's limit
-// is reached. The lock is held.
+// limit counts the work as in flight, or refuses it if this host is stopping, the rule's limit is
+// reached, or no runner takes it because the zone is cordoned. A trace may wait for the end of that. The lock is held.
 func (d *Dispatcher) limit(w *work) outcome.Outcome {
 	if d.draining {
 		return outcome.NotRun{Reason: "this host is stopping", Remedy: "send the request to another host", RetryAfter: dispatchInterval}
 	}
+	if d.Router.Cordoned() && w.class.GetKind() != wire.Kind_trace {
+		return outcome.NotRun{Reason: "the availability zone of this host is cordoned", Remedy: "send the request to a host of another zone", RetryAfter: time.Second}
+	}
 	rule, _ := d.Rules().RuleFor(w.req.GetOrganisation(), w.req.GetClass())
 	pair := [2]string{w.req.GetOrganisation(), w.req.GetClass()}
 	if limit := int(rule.GetMaxInFlight()); limit > 0 && d.inFlight[pair] >= limit {
--- a/internal/dispatcher/lookup.go
+++ b/internal/dispatcher/lookup.go
@@ -71,6 +71,15 @@
 	d.Router.MarkLeaving(time.Now(), name)
 }
 
+// SetCordoned says whether the runners' availability zone is cordoned. Requests that wait are dispatched
+// when it no longer is.
+func (d *Dispatcher) SetCordoned(cordoned bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Router.SetCordoned(cordoned)
+	d.dispatchQueued()
+}
+
 // Update passes the listed runners and the hosts that share them to the router.
 func (d *Dispatcher) Update(listed []router.Listing, hosts []string) {
 	d.mu.Lock()
--- a/internal/host/api.go
+++ b/internal/host/api.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/planner"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -50,6 +51,8 @@
 	operator.Get("/configuration", h.getConfiguration)
 	operator.Get("/configuration/history", h.getHistory)
 	operator.Post("/configuration", h.postConfiguration)
+	operator.Get("/cordons", h.getCordons)
+	operator.Post("/cordons", h.postCordon)
 	if err := app.Build(); err != nil {
 		h.log.Errorf("the HTTP routes could not be built: %v", err)
 	}
@@ -108,6 +111,11 @@
 	case h.configuration.Revision() == 0:
 		return false, "no configuration yet"
 	}
+	select {
+	case <-h.zones.Known():
+	default:
+		return false, "the cordons of zones are not known yet"
+	}
 	return true, "ready"
 }
 
@@ -181,6 +189,9 @@
 			out.Lines = h.explainFromRecord(c.Request().Context(), job)
 		}
 	}
+	if record := h.zones.Cordon(h.Settings.GetZone()); record != nil && answer.GetJob() == nil && answer.GetState() == wire.WorkState_WORK_STATE_PENDING && answer.GetAttempts() == 0 {
+		out.Lines = append(out.Lines, "waits: "+planner.CordonReason(record))
+	}
 	if answer.GetReason() != "" {
 		out.Lines = append(out.Lines, answer.GetReason())
 	}
@@ -193,7 +204,11 @@
 // explainFromRecord returns the history from the job's record. It is used when this host's
 // planner does not hold the job, usually because another host plans the job's zone.
 func (h *Host) explainFromRecord(_ context.Context, job *wire.JobRecord) []string {
-	return append([]string{fmt.Sprintf("the job is planned in zone %s", job.GetZone())}, job.GetHistory()...)
+	lines := append([]string{fmt.Sprintf("the job is planned in zone %s", job.GetZone())}, job.GetHistory()...)
+	if record := h.zones.Cordon(job.GetZone()); record != nil && job.GetState() == wire.JobState_JOB_STATE_WAITING {
+		lines = append(lines, "waits: "+planner.CordonReason(record))
+	}
+	return lines
 }
 
 func stateName(state wire.WorkState) string {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,6 +36,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
 	"github.com/eelgrasstide/eelgrasstide/internal/store"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/internal/zones"
 )
 
 const (
@@ -64,6 +65,7 @@
 	httpClient    *http.Client
 	hostList      wire.HostList
 	configuration *configuration.Configuration
+	zones         *zones.Zones
 	membership    *membership.Membership
 	journal       *journal.Journal
 	dispatcher    *dispatcher.Dispatcher
@@ -137,12 +139,13 @@
 		{Name: "journal", Run: func(ctx context.Context) error { return h.journal.Run(ctx, journalGrace) }},
 		{Name: "dispatcher", Run: h.dispatcher.Run},
 		{Name: "configuration", Run: h.configuration.Run},
+		{Name: "cordons", Run: h.zones.Run},
 		{Name: "hostLease", Run: h.membership.KeepLease},
 		{Name: "hosts", Run: h.membership.ReadHosts},
 		{Name: "platformList", Run: h.membership.ReadList},
 		{Name: "heartbeats", Run: h.membership.SendHeartbeats},
 		{Name: "leadership", Run: h.leadership.Run},
-		{Name: "planner", Run: h.planner.Run},
+		{Name: "planner", Run: h.plan},
 		{Name: "jobs", Run: h.planner.Watch},
 		{Name: "recovery", Run: h.recovery.Run},
 	}
@@ -183,6 +186,7 @@
 	}
 	h.hostList = wire.NewHostListProtobufClient("http://"+hostSettings.GetHostList(), h.httpClient)
 	h.configuration = &configuration.Configuration{Store: h.store, OnChange: h.rulesChanged}
+	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Log: h.log}
 	h.journal = &journal.Journal{Store: h.store, Incarnation: h.incarnation, Writer: h.incarnation}
 	h.dispatcher = h.newDispatcher()
 	h.dispatcher.Prepare(ctx)
@@ -191,6 +195,7 @@
 	}
 	h.planner = &planner.Planner{
 		Zone: hostSettings.GetZone(), Store: h.store, Leadership: h.leadership, Rules: h.configuration.Current, Worker: h.worker,
+		Cordon: func() *wire.CordonRecord { return h.zones.Cordon(hostSettings.GetZone()) },
 		Period: hostSettings.GetPlannerPeriod().AsDuration(), TaskLease: hostSettings.GetTaskLease().AsDuration(),
 	}
 	h.membership = h.newMembership()
@@ -218,7 +223,7 @@
 		Self:  &wire.HostRecord{Name: hostSettings.GetName(), Zone: hostSettings.GetZone(), Address: h.address.String(), Incarnation: h.incarnation},
 		Store: h.store, List: h.hostList, Peers: h.peers, Lease: hostSettings.GetHostLease().AsDuration(), Heartbeat: hostSettings.GetHeartbeatPeriod().AsDuration(),
 		Revision: h.configuration.Revision, Departures: h.dispatcher.Departures, OnTargetLeaving: h.dispatcher.MarkLeaving,
-		OnNewerConfiguration: h.fetchConfiguration, Listed: h.listed,
+		Cordons: h.zones.View, OnCordons: h.zones.MergeView, OnNewerConfiguration: h.fetchConfiguration, Listed: h.listed,
 	}
 }
 
--- a/internal/host/work.go
+++ b/internal/host/work.go
@@ -161,8 +161,8 @@
 }
 
 // chooseZone returns the zone of a guarantee that covers the requested workers, or else this
-// host's zone if it is large enough or not declared, or else any zone that is large enough.
-// Errors are Invalid.
+// host's zone if it is large enough or not declared, or else any zone that is large enough. Cordoned zones
+// are used only if there is no other. Errors are Invalid.
 func (h *Host) chooseZone(req *wire.WorkRequest) (string, error) {
 	current := h.configuration.Current()
 	if _, ok := current.RuleFor(req.GetOrganisation(), req.GetClass()); !ok {
@@ -171,22 +171,42 @@
 	if req.GetWorkers() < 1 || req.GetWorkers() > maxGangWorkers || req.GetAcceleratorsPerWorker() < 1 || req.GetDeclared().AsDuration() <= 0 {
 		return "", errkind.Invalid.New(fmt.Sprintf("request 1 to %d workers with at least 1 accelerator each, and a declared run time above 0", maxGangWorkers), "the number of workers, the accelerators or the declared run time of the gang is out of range")
 	}
+	var suitable []string
 	for _, guarantee := range current.Organisations[req.GetOrganisation()].GetGuarantees() {
 		if guarantee.GetWorkers() >= req.GetWorkers() && guarantee.GetAcceleratorsPerWorker() >= req.GetAcceleratorsPerWorker() {
-			return guarantee.GetZone(), nil
+			suitable = append(suitable, guarantee.GetZone())
 		}
 	}
 	if ownZone, ok := current.Zones[h.Settings.GetZone()]; !ok || fits(ownZone, req) {
-		return h.Settings.GetZone(), nil
+		suitable = append(suitable, h.Settings.GetZone())
+	}
+	if zone := h.firstOpen(suitable); zone != "" {
+		return zone, nil
 	}
 	for name, zone := range current.Zones {
 		if fits(zone, req) {
-			return name, nil
+			suitable = append(suitable, name)
 		}
 	}
+	if zone := h.firstOpen(suitable); zone != "" {
+		return zone, nil
+	}
+	if len(suitable) > 0 {
+		return suitable[0], nil
+	}
 	return "", errkind.Invalid.New("request fewer workers or accelerators", "no zone has %d workers with %d accelerators each, even when idle", req.GetWorkers(), req.GetAcceleratorsPerWorker())
 }
 
+// firstOpen returns the first zone that is not cordoned, or an empty string.
+func (h *Host) firstOpen(zones []string) string {
+	for _, zone := range zones {
+		if h.zones.Cordon(zone) == nil {
+			return zone
+		}
+	}
+	return ""
+}
+
 // fits reports whether the requested workers fit a zone in which nothing runs.
 func fits(zone *wire.Zone, req *wire.WorkRequest) bool {
 	var workers []*placement.Worker
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -58,11 +58,12 @@
 	ctx, cancel := context.WithTimeout(ctx, m.Heartbeat)
 	defer cancel()
 	host := m.Peers.Host(address)
-	response, err := host.Heartbeat(ctx, &wire.HeartbeatRequest{Sender: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings()})
+	response, err := host.Heartbeat(ctx, &wire.HeartbeatRequest{Sender: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings(), Cordons: m.Cordons()})
 	if err != nil {
 		m.Peers.CloseIdle()
 		return
 	}
+	m.OnCordons(response.GetCordons())
 	m.recordHeartbeat(response.GetReceiver(), response.GetConfigurationRevision(), response.GetSightings())
 	if response.GetConfigurationRevision() > m.Revision() {
 		m.OnNewerConfiguration(ctx, host)
@@ -97,7 +98,8 @@
 // HandleHeartbeat processes another host's heartbeat and returns this host's own.
 func (m *Membership) HandleHeartbeat(req *wire.HeartbeatRequest) *wire.HeartbeatResponse {
 	if req.GetSender().GetIncarnation() != "" {
+		m.OnCordons(req.GetCordons())
 		m.recordHeartbeat(req.GetSender(), req.GetConfigurationRevision(), req.GetSightings())
 	}
-	return &wire.HeartbeatResponse{Receiver: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings()}
+	return &wire.HeartbeatResponse{Receiver: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings(), Cordons: m.Cordons()}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,6 +36,10 @@
 	Departures func() []string
 	// OnTargetLeaving is called with the name of a target that another host reports as leaving.
 	OnTargetLeaving func(name string)
+	// Cordons returns this host's records of cordons, or nil if it does not know them yet. OnCordons
+	// receives those of another host.
+	Cordons   func() *wire.CordonsView
+	OnCordons func(*wire.CordonsView)
 	// OnNewerConfiguration is called with a client of a host that has a higher configuration
 	// revision.
 	OnNewerConfiguration func(ctx context.Context, from wire.Host)
--- a/internal/placement/inventory.go
+++ b/internal/placement/inventory.go
@@ -29,7 +29,7 @@
 type Worker struct {
 	Name string
 	Rack int
-	// Unschedulable means that the worker takes no new tasks, as it is leaving, lost or quarantined.
+	// Unschedulable means that the worker takes no new tasks, as it is leaving, lost, quarantined or cordoned.
 	Unschedulable bool
 	// Cores and MemoryMB are what the worker has in total; 0 if it does not report them.
 	Cores    int
--- a/internal/planner/launch.go
+++ b/internal/planner/launch.go
@@ -43,6 +43,10 @@
 	return true
 }
 
+func (p *Planner) taskRequest(j *job, epoch int64) *wire.TaskRequest {
+	return &wire.TaskRequest{Epoch: epoch, Job: j.GetId(), Attempt: j.GetAttempt(), Ttl: durationpb.New(p.TaskLease)}
+}
+
 // wireMembers converts a placement to the members of a job record, with their workers'
 // addresses.
 func (p *Planner) wireMembers(chosen placement.Placement) []*wire.Member {
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/placement"
@@ -15,10 +14,6 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
-func (p *Planner) taskRequest(j *job, epoch int64) *wire.TaskRequest {
-	return &wire.TaskRequest{Epoch: epoch, Job: j.GetId(), Attempt: j.GetAttempt(), Ttl: durationpb.New(p.TaskLease)}
-}
-
 // selectJobs returns the jobs that match, in the order of submission. The lock is held.
 func (p *Planner) selectJobs(matches func(*job) bool) []*job {
 	var out []*job
@@ -288,6 +283,10 @@
 		if now.Before(j.retryAt) {
 			continue
 		}
+		if record := p.cordon(); record != nil {
+			p.setWaitReason(j, "%s", CordonReason(record))
+			continue
+		}
 		req := p.request(j)
 		req.HeadOfQueue = head
 		if !p.withinLimit(j) {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -45,6 +45,9 @@
 	Leadership *leadership.Leadership
 	// Rules returns the rules in force.
 	Rules func() *rules.Rules
+	// Cordon returns the record of this zone's cordon, or nil if the zone is not cordoned. A nil function
+	// means that it never is.
+	Cordon func() *wire.CordonRecord
 	// Worker returns a client of the worker at an address.
 	Worker func(address string) wire.Worker
 	// Period is the time between two planning passes without a Wake.
@@ -342,6 +345,8 @@
 			view.State = "leaving"
 		case now.Before(w.quarantinedUntil):
 			view.State = "quarantined"
+		case p.cordon() != nil:
+			view.State = "cordoned"
 		case w.lost(now, p.TaskLease):
 			view.State = "lost"
 		}
--- a/internal/planner/planner_prop_test.go
+++ b/internal/planner/planner_prop_test.go
@@ -10,6 +10,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,6 +116,8 @@
 	partialSince map[string]time.Time
 	seed         uint64
 	problems     []string
+	// cordon is the record of the zone's cordon; nil if there is none.
+	cordon atomic.Pointer[wire.CordonRecord]
 	// workerFaulted is set once a worker has had a fault, as a guarantee may then have a
 	// shortfall.
 	workerFaulted bool
@@ -324,7 +327,7 @@
 			fmt.Sscanf(address, "w%d", &index)
 			return &workerClient{testWorker: sim.testWorkers[index], host: h}
 		},
-		Period: 500 * time.Millisecond, TaskLease: taskLease,
+		Period: 500 * time.Millisecond, TaskLease: taskLease, Cordon: sim.cordon.Load,
 	}
 	h.zonePlanner.UpdateWorkers(sim.listedWorkers())
 	go h.election.Run(ctx)
--- a/internal/planner/workers.go
+++ b/internal/planner/workers.go
@@ -85,12 +85,13 @@
 // The lock is held.
 func (p *Planner) inventory(now time.Time) *placement.Inventory {
 	var reported []*placement.Worker
+	cordoned := p.cordon() != nil
 	for _, w := range p.workers {
 		if w.status == nil {
 			continue
 		}
 		reported = append(reported, &placement.Worker{
-			Name: w.name, Rack: int(w.status.GetRack()), Unschedulable: w.unschedulable(now, p.TaskLease),
+			Name: w.name, Rack: int(w.status.GetRack()), Unschedulable: cordoned || w.unschedulable(now, p.TaskLease),
 			Cores: int(w.status.GetCores()), MemoryMB: w.status.GetMemoryMb(),
 			Slots: make([]placement.Slot, w.status.GetAccelerators()),
 		})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,6 +83,8 @@
 	classSeconds map[string]float64
 	// roundRobin counts the choices of the policy RoundRobin.
 	roundRobin int
+	// cordoned says that the runners' zone is cordoned.
+	cordoned bool
 }
 
 type runnerState struct {
@@ -163,6 +165,12 @@
 	}
 }
 
+// SetCordoned says whether the runners' availability zone is cordoned. If so, none gets new requests.
+func (r *Router) SetCordoned(cordoned bool) { r.cordoned = cordoned }
+
+// Cordoned reports whether the runners' availability zone is cordoned.
+func (r *Router) Cordoned() bool { return r.cordoned }
+
 // Departures returns the runners that are leaving.
 func (r *Router) Departures() []string {
 	var out []string
@@ -194,7 +202,7 @@
 
 // available reports whether a runner may get one more request now.
 func (r *Router) available(state *runnerState, now time.Time) bool {
-	return state.listed && !state.Leaving && now.After(state.ejectedUntil) && now.After(state.pausedUntil) &&
+	return !r.cordoned && state.listed && !state.Leaving && now.After(state.ejectedUntil) && now.After(state.pausedUntil) &&
 		float64(state.inFlight) < math.Max(1, math.Floor(state.window))
 }
 
@@ -320,8 +328,8 @@
 }
 
 // FreeCapacity returns how many more requests the runners may take now, and how many they may have
-// in flight in total. Runners that are leaving or ejected are not counted, and paused ones have no
-// free capacity.
+// in flight in total. Runners that are leaving or ejected are not counted, and paused or cordoned ones
+// have no free capacity.
 func (r *Router) FreeCapacity(now time.Time) (free, total int) {
 	for _, state := range r.runners {
 		if !state.listed || state.Leaving || now.Before(state.ejectedUntil) {
@@ -339,7 +347,7 @@
 // View describes one runner for operators.
 type View struct {
 	Listing
-	// State is up, leaving, ejected or returning.
+	// State is up, leaving, cordoned, ejected or returning.
 	State    string
 	InFlight int
 	// Slowness is the runner's service time divided by the mean of the class.
@@ -355,6 +363,8 @@
 		switch {
 		case state.Leaving:
 			status = "leaving"
+		case r.cordoned:
+			status = "cordoned"
 		case now.Before(state.ejectedUntil):
 			status = "ejected"
 		case state.ejections > 0:
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -29,6 +29,8 @@
 	traceTime   = 400 * time.Millisecond
 	gangTime    = 3 * time.Second
 	gangTimeout = 20 * time.Second
+	// cordonTime is how long the hosts may take to know of a cordon.
+	cordonTime = 2 * time.Second
 )
 
 func main() {
@@ -65,7 +67,7 @@
 		return err
 	}
 	fmt.Printf("7 entry hosts, 9 runners, 12 workers, a store, a host list and a load balancer run as separate processes\n")
-	for _, step := range []func(context.Context) error{d.apply, d.lookups, d.trace, d.gang, d.views, d.stop} {
+	for _, step := range []func(context.Context) error{d.apply, d.lookups, d.trace, d.gang, d.cordon, d.views, d.stop} {
 		if err := step(ctx); err != nil {
 			return err
 		}
@@ -182,6 +184,19 @@
 	if _, err := d.runCommand(ctx, d.fleet.Hosts[len(d.fleet.Hosts)-1].Address, "explain", answer.Ticket); err != nil {
 		return err
 	}
+	if err := d.awaitDone(ctx, answer); err != nil {
+		return err
+	}
+	address := d.fleet.Hosts[0].Address
+	if _, err := d.runCommand(ctx, address, "status", answer.Ticket); err != nil {
+		return err
+	}
+	_, err = d.runCommand(ctx, address, "explain", answer.Ticket)
+	return err
+}
+
+// awaitDone waits until a gang job is done.
+func (d *demo) awaitDone(ctx context.Context, answer client.Answer) (err error) {
 	deadline := time.Now().Add(gangTimeout)
 	for answer.Outcome == nil && time.Now().Before(deadline) {
 		if answer, err = d.balancer.Poll(ctx, answer.Ticket, time.Second); err != nil {
@@ -192,12 +207,51 @@
 		return fmt.Errorf("gang: want it done, have %#v", answer.Outcome)
 	}
 	fmt.Printf("gang ticket=%s host=%s outcome=done\n", answer.Ticket, answer.Host)
-	address := d.fleet.Hosts[0].Address
-	if _, err := d.runCommand(ctx, address, "status", answer.Ticket); err != nil {
+	return nil
+}
+
+// cordon cordons all zones. A gang job must then wait, with the cordon as the reason, until they are
+// uncordoned.
+func (d *demo) cordon(ctx context.Context) error {
+	first, last := d.fleet.Hosts[0].Address, d.fleet.Hosts[len(d.fleet.Hosts)-1].Address
+	if _, err := d.runCommand(ctx, first, "zone", "cordon", "vest-9"); err == nil {
+		return errors.New("zone cordon: want an unknown zone to be refused")
+	}
+	for _, zone := range []string{"vest-1", "vest-2", "vest-3"} {
+		if _, err := d.runCommand(ctx, first, "zone", "cordon", zone); err != nil {
+			return err
+		}
+	}
+	time.Sleep(cordonTime)
+	answer, err := d.balancer.Submit(ctx, client.Request{
+		Organisation: "headOffice", Class: "urgentRebuild", Workers: 2, AcceleratorsPerWorker: 8, Declared: gangTime, Wait: cordonTime,
+	})
+	if err != nil {
 		return err
 	}
-	_, err = d.runCommand(ctx, address, "explain", answer.Ticket)
-	return err
+	for _, check := range []struct {
+		address netip.AddrPort
+		args    []string
+		want    string
+	}{
+		{last, []string{"targets"}, "cordoned"},
+		{first, []string{"explain", answer.Ticket}, "cordoned by"},
+		{last, []string{"explain", answer.Ticket}, "cordoned by"},
+		{last, []string{"zone", "list"}, "vest-2"},
+		{first, []string{"zone", "uncordon", "vest-1"}, "uncordoned"},
+		{first, []string{"zone", "uncordon", "vest-2"}, "uncordoned"},
+		{first, []string{"zone", "uncordon", "vest-3"}, "uncordoned"},
+		{first, []string{"zone", "uncordon", "vest-3"}, "already"},
+	} {
+		text, err := d.runCommand(ctx, check.address, check.args...)
+		if err != nil {
+			return err
+		}
+		if !strings.Contains(text, check.want) {
+			return fmt.Errorf("%s: want %q in the output, have %s", check.args, check.want, text)
+		}
+	}
+	return d.awaitDone(ctx, answer)
 }
 
 // views prints the operator views and checks the metrics.
