The log says which jobs wait for a cordoned zone

explain exists only for serve; on the platform nothing said why such a job waits. Once a second the placement looks for jobs without room that would have some without the cordons, and logs at most 20, each job once in 10 s, with the reason: only cordoned targets could hold it, or the only free room is there.

--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -11,6 +11,7 @@
 func (p *pass) begin(s *Scheduler, now time.Time) {
 	p.s, p.now, p.reservations, p.searches = s, now, 0, 0
 	p.empty()
+	s.cordonWaits.begin(s, now)
 	// The lists hold pointers into capacities, so it must not grow while it is filled.
 	if cap(p.capacities) < len(s.ordered) {
 		p.capacities = make([]freeCapacity, 0, len(s.ordered))
--- a/internal/scheduler/cordon_test.go
+++ b/internal/scheduler/cordon_test.go
@@ -177,3 +177,44 @@
 		t.Errorf("have %d starts of the gang, want 10: %s", len(starts), fmt.Sprint(targetsOf(starts)))
 	}
 }
+
+// Guards against jobs that wait for a cordoned zone without a line that says so, against a line for each
+// pass, and against lines for jobs that wait for other reasons.
+func TestWaitForACordonedZoneIsLogged(t *testing.T) {
+	const event = "job waits for a cordoned zone"
+	f := newZones(t, "a", "b")
+	large, gang := smallStep(1), smallStep(10)
+	large.RequiredLabel, gang.Gang = "only-here", true
+	listing := f.listing(0)
+	listing.Zone, listing.Labels = "a", []string{"only-here"}
+	f.TargetListed(f.now, listing)
+	f.submit("load", "batch", smallStep(16))
+	f.startAll()
+	events := f.record()
+	f.cordon("a")
+	f.submit("label", "batch", large)
+	f.submit("gang", "batch", gang)
+	f.submit("small", "batch", smallStep(1))
+	f.startAll()
+	reasons := map[any]any{}
+	for _, fields := range events[event] {
+		reasons[fields["job"]] = fields["reason"]
+	}
+	if len(events[event]) != 2 || reasons["label"] == nil || reasons["gang"] == nil {
+		t.Errorf("have %v, want one line for each of label and gang, and none for small, which would wait anyway", events[event])
+	}
+	for range 25 {
+		f.advance(200 * time.Millisecond)
+		f.startAll()
+	}
+	if have := len(events[event]); have != 2 {
+		t.Errorf("have %d lines after 5 s, want 2", have)
+	}
+	for range 30 {
+		f.advance(200 * time.Millisecond)
+		f.startAll()
+	}
+	if have := len(events[event]); have != 4 {
+		t.Errorf("have %d lines after 11 s, want 4", have)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,6 +25,8 @@
 	work      float64
 	// estimate is that of the job's queue.
 	estimate *estimate
+	// cordonLogged is when it was last logged that the job waits for a cordoned zone.
+	cordonLogged time.Time
 }
 
 // occurrence is one run of all the job's steps.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -116,6 +116,7 @@
 	requirements := c.requirements()
 	for _, u := range c.startableUnits {
 		if p.unplaceable[requirements] {
+			p.logCordonWait(c, requirements)
 			break
 		}
 		var chosen placement
@@ -126,6 +127,7 @@
 		}
 		if chosen.openNodes == nil {
 			p.unplaceable[requirements] = true
+			p.logCordonWait(c, requirements)
 			p.reserve(c)
 			break
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,7 +28,8 @@
 
 	catalogue *catalogue.Catalogue
 	// cordons is what is known of the cordons; nil until SetCordons.
-	cordons *cordon.Set
+	cordons     *cordon.Set
+	cordonWaits cordonWaits
 	// jobs and nodes hold the known jobs and targets by ID; estimates holds one estimate for
 	// each queue, by its name.
 	jobs      map[string]*job
