--- a/internal/host/cordon_test.go
+++ b/internal/host/cordon_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,18 +43,18 @@
 // downStore is a store that answers nothing while down is set.
 type downStore struct {
 	wire.Store
-	down bool
+	down atomic.Bool
 }
 
 func (s *downStore) List(ctx context.Context, req *wire.ListRequest) (*wire.ListResponse, error) {
-	if s.down {
+	if s.down.Load() {
 		return nil, twirp.NewError(twirp.Unavailable, "down")
 	}
 	return s.Store.List(ctx, req)
 }
 
 func (s *downStore) Watch(ctx context.Context, req *wire.WatchRequest) (*wire.ListResponse, error) {
-	if s.down {
+	if s.down.Load() {
 		return nil, twirp.NewError(twirp.Unavailable, "down")
 	}
 	return s.Store.Watch(ctx, req)
@@ -83,7 +84,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		backend := &keyvalue.KeyValue{}
-		stores := []*downStore{{Store: backend}, {Store: backend}, {Store: backend, down: true}}
+		stores := []*downStore{{Store: backend}, {Store: backend}, {Store: backend}}
+		stores[2].down.Store(true)
 		var hosts []*Host
 		var loops []background.Loop
 		for i, name := range []string{"first", "second", "late"} {
@@ -121,7 +123,7 @@
 		if ready, text := hosts[2].ready(); !ready {
 			t.Errorf("have not ready (%s) on a host that knows the cordons of a peer, want ready", text)
 		}
-		stores[1].down = true
+		stores[1].down.Store(true)
 		time.Sleep(30 * time.Second)
 		if code, body := post(hosts[0], `{"zone":"z","operator":"other","lift":true}`); code != http.StatusOK {
 			t.Errorf("uncordon: have %d %s, want 200", code, body)
@@ -129,7 +131,7 @@
 		expect("after the end, without the store", false, true, true)
 		heartbeat(hosts[0], hosts[1])
 		hosts[1].membership.OnCordons(stale)
-		stores[2].down = false
+		stores[2].down.Store(false)
 		time.Sleep(10 * time.Second)
 		expect("after a heartbeat, and with the store", false, false, false)
 		cancel()
