The soak cordons zones

It played no cordons. Beside the faults, which are drawn as before, zones are now cordoned and uncordoned through the operators' keys, and the targets check that no start arrives later than 5 s after the acknowledgement.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -95,7 +95,7 @@
 func newDeployment(ctx context.Context, seed uint64, bin, dir string) (*deployment, error) {
 	d := &deployment{
 		random: rand.New(rand.NewPCG(seed, 1)), store: &batchstore.Store{}, acknowledged: map[int64]time.Time{}, counts: map[string]int{},
-		fleet: &batchtarget.Fleet{MaxFailures: maxAttempts, ClockLag: clockLag, RunFails: func(run target.Run) bool { return run.Task.Index == 1 && run.Number == 1 }},
+		fleet: &batchtarget.Fleet{MaxFailures: maxAttempts, ClockLag: clockLag, CordonTime: cordonTime, RunFails: func(run target.Run) bool { return run.Task.Index == 1 && run.Number == 1 }},
 	}
 	var err error
 	refusalStatus := func() int { return int(d.refusal.Load()) }
@@ -116,7 +116,7 @@
 		}
 	}
 	for i := range 3 + d.random.IntN(2) {
-		h, err := newHost(fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i%3), bin, dir, d.storeAddress)
+		h, err := newHost(fmt.Sprintf("host-%d", i), zoneName(i), bin, dir, d.storeAddress)
 		if err != nil {
 			return nil, err
 		}
@@ -180,7 +180,7 @@
 		return err
 	}
 	t := &targetLink{link: link, listing: target.Listing{
-		ID: id, Service: "s", Address: link.address, Zone: fmt.Sprintf("zone-%d", i%3), Rack: fmt.Sprintf("r%d", i/targetsPerRack), Born: time.Now().UnixMilli(),
+		ID: id, Service: "s", Address: link.address, Zone: zoneName(i), Rack: fmt.Sprintf("r%d", i/targetsPerRack), Born: time.Now().UnixMilli(),
 		Capacity: workload.Resources{MilliCores: 8000, MemoryMB: 800, Accelerators: 4},
 	}}
 	d.targets = append(d.targets, t)
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	h := &host{store: link, dir: dir, bin: bin}
-	h.Host = platformtest.Host{Name: name, Zone: zone, Store: link.address, Grace: gracePeriod, TaskLease: taskLease}
+	h.Host = platformtest.Host{Name: name, Zone: zone, Store: link.address, Grace: gracePeriod, TaskLease: taskLease, CordonTime: cordonTime}
 	if err := freeAddresses(nextIP(), &h.Callers, &h.Ready, &h.Hosts); err != nil {
 		return nil, err
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -146,6 +147,7 @@
 		group.Go(func() { c.run(loadContext); c.jobs.Wait() })
 	}
 	group.Go(func() { d.watchConfiguration(loadContext, d.newCaller(seed, callerCount)) })
+	group.Go(func() { d.cordonZones(loadContext, rand.New(rand.NewPCG(seed, 2))) })
 	names := d.injectFaults(loadContext)
 	d.clearFaults()
 	group.Wait()
