--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -177,7 +177,7 @@
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
 			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime, CordonTime: d.cordonTime,
 		},
-		Metrics: metrics.NewRegistry(), Log: hostLog,
+		PublishLoad: true, Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
 	election := &term.Election{
 		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) + time.Duration(d.suspended.Load()) },
@@ -263,6 +263,7 @@
 	}
 	for i := range targetCount {
 		d.fleet.SetMuted(targetID(i), false)
+		d.fleet.SetConnections(targetID(i), batchtarget.Open)
 		if d.unlisted[i] {
 			d.list(i)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,12 +56,16 @@
 	mu sync.Mutex
 	// failures counts the consecutive failures of direct calls.
 	failures int
+	// failedAt is when a direct call last failed while calls went through other hosts.
+	failedAt time.Time
 	// nextDirect is the earliest time of the next direct call while direct calls fail.
 	nextDirect time.Time
 	// nextPeers is the earliest time of the next call through peers.
 	nextPeers time.Time
-	// failedProbes counts the consecutive probes that no host of another zone answered.
-	failedProbes int
+	// failedProbes counts the consecutive probes that no host of another zone answered, and
+	// failedZoneProbes those that no host of this zone answered.
+	failedProbes     int
+	failedZoneProbes int
 }
 
 var _ keyvalue.Service = (*Relay)(nil)
@@ -74,6 +78,14 @@
 	return r.failures >= relayAfterFailures
 }
 
+// FailedAt returns when direct calls to the store last failed so that calls went through other hosts; zero
+// if they never did.
+func (r *Relay) FailedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failedAt
+}
+
 // tryDirect reports whether the next call goes directly to the store. While direct calls
 // fail, that is one call per directRetryPeriod.
 func (r *Relay) tryDirect(now time.Time) bool {
@@ -111,10 +123,13 @@
 		if r.failures >= relayAfterFailures {
 			r.Log.Info("relay: the store answers this host again")
 		}
-		r.failures, r.failedProbes = 0, 0
+		r.failures, r.failedProbes, r.failedZoneProbes = 0, 0, 0
 	case errkind.Invalid.Is(err):
 	default:
 		r.failures++
+		if r.failures >= relayAfterFailures {
+			r.failedAt = time.Now()
+		}
 		if r.failures == relayAfterFailures {
 			r.nextDirect = time.Now().Add(directRetryPeriod)
 			r.Log.WithError(err).Warn("relay: the store does not answer this host; its calls go through others")
