--- a/internal/host/recovery_test.go
+++ b/internal/host/recovery_test.go
@@ -9,7 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/eelgrasstide/eelgrasstide/internal/background"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/journal"
 	"github.com/eelgrasstide/eelgrasstide/internal/membership"
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
@@ -21,6 +25,7 @@
 func newTestHost(ctx context.Context, name string, backend wire.Store) *Host {
 	h := &Host{Settings: &settings.Settings{HostSettings: &wire.HostSettings{Name: name, Zone: "z"}}}
 	h.Settings.Defaults()
+	h.ingress = &ingress.Ingress{Name: name, Limits: ingressLimits(h.Settings), Metrics: metrics.NewRegistry(), Log: log.Log}
 	h.assemble(ctx)
 	h.store.Backend = backend
 	return h
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -125,6 +125,7 @@
 	for _, u := range c.startableUnits {
 		if p.unplaceable[requirements] {
 			p.s.shares.short = true
+			p.logCordonWait(c, requirements)
 			break
 		}
 		var chosen placement
@@ -135,6 +136,7 @@
 		}
 		if chosen.openNodes == nil {
 			p.unplaceable[requirements], p.s.shares.short = true, true
+			p.logCordonWait(c, requirements)
 			p.reserve(c)
 			break
 		}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -28,9 +28,9 @@
 // victim is a unit whose run could be stopped to free capacity.
 type victim struct {
 	unit *unit
-	// loss is the value that stopping it costs, times the share factor of its organisation: those above
-	// their fair part lose runs first.
-	loss float64
+	// loss is the value that stopping it costs, and rank is that times the share factor of its organisation:
+	// those above their fair part lose runs first, but no more runs are stopped for that.
+	loss, rank float64
 }
 
 // preempt stops less important runs so that a candidate of priority 0 fits, if the job's value
@@ -227,12 +227,16 @@
 		if m.state == memberAwaitingWrite || u.step.spec.LongRunning || slices.ContainsFunc(n.victims, known) {
 			continue
 		}
-		n.victims = append(n.victims, victim{unit: u, loss: p.s.loss(p.now, u) * p.s.shareFactor(u.step.job)})
+		n.victims = append(n.victims, newVictim(u, p.s.loss(p.now, u), p.s.shareFactor(u.step.job)))
 	}
-	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.rank, b.rank) })
 	return n.victims
 }
 
+func newVictim(u *unit, loss, shareFactor float64) victim {
+	return victim{unit: u, loss: loss, rank: loss * shareFactor}
+}
+
 // isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
 // and not being stopped there already.
 func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -109,8 +110,15 @@
 	}
 }
 
-// shareFactor returns by how much the work of a job's organisation is preferred.
-func (s *Scheduler) shareFactor(j *job) float64 { return s.shares.ledger.Factor(j.Organisation) }
+// shareFactor returns by how much the work of a job's organisation is preferred. The factors of any two
+// organisations differ by one step of priority at most, so that shares never put a job before one that is
+// more urgent and otherwise alike.
+func (s *Scheduler) shareFactor(j *job) float64 {
+	weights := s.Limits.Policy
+	weights.Defaults()
+	bound := math.Sqrt(weights.PriorityStep)
+	return min(max(s.shares.ledger.Factor(j.Organisation), 1/bound), bound)
+}
 
 // Shares returns the use of capacity by organisation, in order.
 func (s *Scheduler) Shares() []Share {
