Targets are ranked by their runs' shares too when runs are stopped

Cause: ranked only the runs of one target; TestRunsOfLargeUsersAreStoppedFirst failed on it. Measured: the tests of scheduler and loadmodel pass.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -145,7 +145,7 @@
 	type option struct {
 		n          *freeCapacity
 		victims    []victim
-		loss       float64
+		rank       float64
 		maxMembers int
 	}
 	var options []option
@@ -171,7 +171,7 @@
 				if !v.unit.isVictim(c, n) {
 					continue
 				}
-				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
+				o.victims, o.rank = append(o.victims, v), o.rank+v.rank
 				for _, m := range v.unit.members {
 					if m.node == n.node {
 						free = free.Plus(v.unit.step.spec.CapacityUse())
@@ -186,7 +186,7 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.loss/float64(a.maxMembers), b.loss/float64(b.maxMembers)) })
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)) })
 	found := &preemption{}
 	missing := count
 	counted := map[*unit]bool{}
