--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -38,9 +38,9 @@
 // Clients whose connections the host refuses or closes end early.
 func (c *Crowd) Send(clients int, behaviours ...Behaviour) {
 	var group, steps sync.WaitGroup
+	steps.Add(clients * len(behaviours))
 	for _, behaviour := range behaviours {
 		for range clients {
-			steps.Add(1)
 			group.Go(func() {
 				done := sync.OnceFunc(steps.Done)
 				defer done()
