A refusal of a body reaches a client that still sends

net/http closes a connection at once whose small body it has not read to its end, and the kernel then discards the response. A refused connection is closed for sending first and whole 500 ms later.

--- a/internal/ingress/connections/connections.go
+++ b/internal/ingress/connections/connections.go
@@ -15,6 +15,9 @@
 // slowAfter is how long a request may take to arrive before its connection is closed ahead of idle ones.
 const slowAfter = time.Second
 
+// lingerTime is how long a connection that got a refusal stays open for its peer to read it.
+const lingerTime = 500 * time.Millisecond
+
 // Connections bounds the open connections of a listener and the time for writing to them. Set the
 // exported fields before Listen.
 type Connections struct {
@@ -46,7 +49,7 @@
 	// responding connections have a response that is being written.
 	responding
 	idle
-	// ending connections have got a refusal and are closed after it.
+	// ending connections get a refusal and are closed after it.
 	ending
 	states
 )
@@ -61,6 +64,8 @@
 	state   state
 	since   time.Time
 	closed  bool
+	// lingers is set while the sending side alone is closed.
+	lingers bool
 }
 
 // Listen returns a listener that applies the limit to the connections of another one.
@@ -155,7 +160,7 @@
 	c.count--
 }
 
-// move changes the state of a connection that is open.
+// move changes the state of a connection that is open and not about to be closed.
 func (c *Connections) move(connection net.Conn, to state) {
 	moved, ok := connection.(*conn)
 	if !ok {
@@ -163,7 +168,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !moved.closed {
+	if !moved.closed && moved.state != ending {
 		c.put(moved, to)
 	}
 }
@@ -218,11 +223,20 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After a refusal, the sending side is closed first and the rest later: the
+// kernel discards a response whose peer still sends when the connection is closed.
 func (c *conn) Close() error {
 	c.owner.mu.Lock()
-	c.owner.remove(c)
+	linger := c.state == ending && !c.closed && !c.lingers
+	c.lingers = c.lingers || linger
+	if !linger {
+		c.owner.remove(c)
+	}
 	c.owner.mu.Unlock()
+	if linger {
+		time.AfterFunc(lingerTime, func() { c.Close() })
+		return c.CloseWrite()
+	}
 	return c.Conn.Close()
 }
 
