Bodies that do not arrive no longer hold up a stop of serve

Requests whose bodies have not arrived 2 s after the accepted requests have ended are refused now, and clients have 10 s to take their responses.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -46,6 +47,9 @@
 	// journalGrace is the time in which a stopping journal may still write queued records.
 	journalGrace    = 3 * time.Second
 	stopCallTimeout = 2 * time.Second
+	// shutdownTimeout is how long a stopping host waits for clients to take their responses, once all
+	// accepted requests have ended.
+	shutdownTimeout = 10 * time.Second
 )
 
 // Host is one entry host. Set Settings before Run.
@@ -97,7 +101,10 @@
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	ends := background.Start(loopsCtx, h.loops()...)
+	callContext, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelCalls()
 	server := h.ingress.Server(h.handler())
+	server.BaseContext = func(net.Listener) context.Context { return callContext }
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -107,7 +114,7 @@
 	case end := <-ends:
 		return fmt.Errorf("Host.Run: background loop %s ended: %w", end.Name, end.Err)
 	}
-	h.stop(server)
+	h.stop(server, cancelCalls)
 	stopLoops()
 	for end := range ends {
 		h.log.Debugf("background loop %s ended: %v", end.Name, end.Err)
@@ -146,9 +153,9 @@
 
 // stop ends the host without interrupting an accepted request. It stops reporting ready
 // and publishes that it is leaving. It waits for the time stopNotice, so that load balancers and
-// other hosts stop sending requests, and then for the accepted requests to end. Last, it gives
-// up the leases of the planner and the host.
-func (h *Host) stop(server *http.Server) {
+// other hosts stop sending requests, and then for the accepted requests to end. Requests whose bodies
+// have not arrived 2 s later are refused. Last, it gives up the leases of the planner and the host.
+func (h *Host) stop(server *http.Server, cancelCalls context.CancelFunc) {
 	h.log.Info("stopping: no longer ready")
 	h.stopping.Store(true)
 	leaveCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
@@ -158,7 +165,10 @@
 	h.log.Info("stopping: waiting for accepted requests to end")
 	close(h.stopPolls)
 	h.dispatcher.Drain(context.Background())
-	if err := server.Shutdown(context.Background()); err != nil {
+	defer time.AfterFunc(stopCallTimeout, cancelCalls).Stop()
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(shutdownCtx); err != nil {
 		h.log.Warnf("the HTTP server did not shut down cleanly: %v", err)
 	}
 	releaseCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
--- a/internal/ingress/connections/connections.go
+++ b/internal/ingress/connections/connections.go
@@ -234,7 +234,7 @@
 	}
 	c.owner.mu.Unlock()
 	if linger {
-		time.AfterFunc(lingerTime, func() { c.Close() })
+		time.AfterFunc(lingerTime, func() { _ = c.Close() })
 		return c.CloseWrite()
 	}
 	return c.Conn.Close()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +22,9 @@
 
 const bodyLimit = 64 << 10
 
+// stop holds, by the address of a server, the function that ends its calls.
+var stop = map[string]context.CancelFunc{}
+
 // serve starts a server with limits on a loopback address that answers a POST with its body.
 func serve(t *testing.T, limits ingress.Limits) (address string, registry metrics.Registry) {
 	registry = metrics.NewRegistry()
@@ -34,6 +38,9 @@
 	}), func(*http.Request) int64 { return bodyLimit }, nil, func(w http.ResponseWriter, _ *http.Request, err error) {
 		w.WriteHeader(errkind.Status(err))
 	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	stop[listener.Addr().String()] = cancel
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String(), registry
@@ -155,6 +162,19 @@
 	}
 }
 
+// Guards against: a body without its end holds up a stop of the host.
+func TestStopEndsTheWaitForABody(t *testing.T) {
+	address, _ := serve(t, limits())
+	conn := send(t, address, strings.Replace(post(bodyLimit, ""), "Host", "Expect: 100-continue\r\nHost", 1))
+	if have, err := status(conn); have != http.StatusContinue {
+		t.Fatalf("before the stop: have status %d, %v, want 100", have, err)
+	}
+	stop[address]()
+	if have, err := status(conn); have != http.StatusServiceUnavailable {
+		t.Errorf("after the stop: have status %d, %v, want 503", have, err)
+	}
+}
+
 // Guards against: connections beyond the limit are held, or those that wait for nothing keep others out.
 func TestConnectionsBeyondTheLimit(t *testing.T) {
 	address, registry := serve(t, limits())
--- a/test/crowd/serve_test.go
+++ b/test/crowd/serve_test.go
@@ -75,6 +75,17 @@
 	t.Errorf("ordinary work: have %v (process ended: %t), want it done", last, f.Hosts[0].Ended())
 }
 
+// Guards against: bodies without their end hold up a stop of the host.
+func TestServeStopsUnderACrowd(t *testing.T) {
+	f, process := startServe(t)
+	callers := &crowd.Crowd{Address: f.Hosts[0].Address, Path: "/v1/work", Observe: process.CountDescriptors}
+	defer callers.Close()
+	callers.Send(3, crowd.Short(crowd.Padded(`"organisation":"shops"`, workBytes), 1))
+	if err := f.Hosts[0].Stop(); err != nil {
+		t.Errorf("Stop: %v", err)
+	}
+}
+
 // Guards against: clients of `serve` that hold bodies, connections or responses end the process by its
 // memory or its descriptors, or keep ordinary callers out.
 func TestServeUnderACrowd(t *testing.T) {
