Stops of one unit for other jobs are bounded

A unit that has just started again is the cheapest to stop, so it was stopped for one urgent job after the other, and a new planner began to count anew. A unit that was stopped maxPreemptions times is no victim any more, except for an overdue guarantee. The count is in its progress record. A stop also costs the capacity that lies idle until the next step uses it. A job that would be late on free capacity no longer waits for faster targets where it would end no earlier.

`run stopped` names the job that needed the capacity, the loss, the gain and the number of stops.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -21,6 +21,9 @@
 	// time until the next search for the same step. They bound what a surge of urgent jobs costs.
 	maxSearches = 8
 	searchPause = 100 * time.Millisecond
+	// stepMargin is how long after a stop has ended its capacity may lie idle: the longest time until the
+	// step that uses it.
+	stepMargin = 120 * time.Millisecond
 	// likelyLate is the probability from which a job counts as late.
 	likelyLate = 0.5
 )
@@ -74,7 +77,10 @@
 		return false
 	}
 	best := p.preemption(c)
-	if best == nil || best.loss > (best.value-c.valueIn(chosen.runSeconds))*maxLossShare {
+	if best == nil {
+		return false
+	}
+	if gain := best.value - c.valueIn(chosen.runSeconds); gain <= 0 || best.loss > gain*maxLossShare {
 		return false
 	}
 	if c.step.preemptFasterAt.IsZero() {
@@ -125,15 +131,18 @@
 		n.reserved = c.step
 	}
 	for _, v := range found.victims {
-		v.preempted++
-		p.s.stopUnit(p.now, v, "preempted for job "+c.step.job.ID)
+		v.unit.preempted++
+		p.s.dirty[v.unit.step.job.ID] = v.unit.step.job
+		p.s.stopUnitWith(p.now, v.unit, "preempted for job "+c.step.job.ID, Fields{
+			"for": c.step.job.ID, "loss": v.loss, "totalLoss": found.loss, "gain": found.value, "guaranteeOverdue": c.guaranteeOverdue, "preempted": v.unit.preempted,
+		})
 	}
 }
 
 // preemption is a set of targets and the units to stop on them.
 type preemption struct {
 	openNodes []*freeCapacity
-	victims   []*unit
+	victims   []victim
 	// loss is the value that the stops cost, and value what the candidate's job is then worth.
 	loss, value float64
 }
@@ -167,7 +176,7 @@
 		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
 		if o.maxMembers == 0 {
 			for _, v := range p.victims(n) {
-				if !v.unit.isVictim(c, n) {
+				if !p.isVictim(v.unit, c, n) {
 					continue
 				}
 				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
@@ -198,7 +207,7 @@
 		for _, v := range o.victims {
 			if !counted[v.unit] {
 				counted[v.unit] = true
-				found.victims, found.loss = append(found.victims, v.unit), found.loss+v.loss
+				found.victims, found.loss = append(found.victims, v), found.loss+v.loss
 			}
 		}
 	}
@@ -232,11 +241,15 @@
 	return n.victims
 }
 
-// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
-// and not being stopped there already.
-func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
+// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important,
+// not being stopped there already, and has not been stopped as often as the policy allows. An overdue
+// guarantee is not bound by that limit.
+func (p *pass) isVictim(u *unit, c *candidate, n *freeCapacity) bool {
 	if u.step.job.terms.Priority <= c.step.job.terms.Priority {
 		return false
 	}
+	if u.preempted >= p.s.Limits.Policy.MaxPreemptions && !c.guaranteeOverdue {
+		return false
+	}
 	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
 }
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -33,6 +33,7 @@
 	record := &wire.UnitRecord{
 		Occurrence: int32(u.step.occurrence.number), Step: int32(u.step.number), Index: int32(u.index),
 		Run: int32(u.run), Failures: int32(u.failures), Done: u.done, Checkpoint: u.checkpoint,
+		Preempted: int32(u.preempted),
 	}
 	for _, number := range u.failedRuns {
 		record.FailedRuns = append(record.FailedRuns, int32(number))
@@ -78,6 +79,7 @@
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
 	u.run, u.failures, u.checkpoint = int(record.GetRun()), int(record.GetFailures()), record.GetCheckpoint()
+	u.preempted = int(record.GetPreempted())
 	u.restoreFailedRuns(record)
 	j := u.step.job
 	j.begun = j.begun || record.GetDone() || record.GetFailures() > 0 || record.GetCheckpoint() != ""
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -256,6 +256,11 @@
 
 // stopUnit stops a unit's current run. Members whose start has not been sent are closed at once.
 func (s *Scheduler) stopUnit(now time.Time, u *unit, reason string) {
+	s.stopUnitWith(now, u, reason, nil)
+}
+
+// stopUnitWith stops a unit's current run and adds fields to the log of each stop.
+func (s *Scheduler) stopUnitWith(now time.Time, u *unit, reason string, details Fields) {
 	for _, m := range append([]*member(nil), u.members...) {
 		if m.state == memberAwaitingWrite {
 			s.logClosed(now, m, "its start was withdrawn before it was sent: "+reason)
@@ -263,16 +268,20 @@
 			continue
 		}
 		if m.stopDecided.IsZero() {
-			s.stopMember(now, m, reason)
+			s.stopMemberWith(now, m, reason, details)
 		}
 	}
 }
 
 // stopMember stops one member of a run.
 func (s *Scheduler) stopMember(now time.Time, m *member, reason string) {
+	s.stopMemberWith(now, m, reason, nil)
+}
+
+func (s *Scheduler) stopMemberWith(now time.Time, m *member, reason string, details Fields) {
 	m.stopDecided = now
 	s.stops = append(s.stops, Stop{Run: m.run, Target: m.node.ID})
-	s.log("run stopped", m.fields(now).with(Fields{"reason": reason}))
+	s.log("run stopped", m.fields(now).with(Fields{"reason": reason}).with(details))
 }
 
 // logClosed logs that a member is about to be closed, unless it is closed already.
--- a/internal/scheduler/value.go
+++ b/internal/scheduler/value.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// loss returns the value that stopping a unit costs: the capacity that was spent on the lost work and is
-// held during the stop, at its price, and the part of its job's value that the delay puts at risk.
+// loss returns the value that stopping a unit costs: the capacity that was spent on the lost work and that
+// lies idle until the unit runs again, at its price, and the part of its job's value that the delay puts at risk.
 func (s *Scheduler) loss(now time.Time, u *unit) float64 {
 	st := u.step
 	lost := runningFor(now, u)
@@ -90,7 +90,7 @@
 		lost = min(lost, s.Limits.CheckpointPeriod)
 	}
 	service := st.job.terms.Service
-	capacity := (lost + s.Limits.StopTime).Seconds() * s.targetShare(st.spec) * float64(len(u.members))
+	capacity := (lost + s.Limits.StopTime + stepMargin).Seconds() * s.targetShare(st.spec) * float64(len(u.members))
 	return capacity*s.price(service) + s.valueAtRisk(now, u, lost)
 }
 
