Urgent jobs wait for runs that end in time instead of stopping others

Runs were stopped that would have ended before the stops had. Runs on the chosen targets that are expected to end within the time of a stop count as free now. A job that is on time even after a longer wait, of at most half of the time that it can spare, reserves the targets and stops nothing.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -55,6 +55,8 @@
 	estimateUpdated bool
 	// preemptFasterAt is when runs on faster targets were first stopped for the step.
 	preemptFasterAt time.Time
+	// waitsSince is when the step first waited for runs to end instead of having runs stopped.
+	waitsSince time.Time
 	// searchAgainAt is when runs to stop for the step are next searched for.
 	searchAgainAt time.Time
 }
@@ -73,6 +75,8 @@
 	// failedRuns holds the numbers of the runs that are counted in failures.
 	failedRuns []int
 	startedAt  time.Time
+	// expectedEnd is when the current run was expected to end at expectedEndAt, the time of a pass.
+	expectedEnd, expectedEndAt time.Time
 	// preempted counts how often the unit was stopped to free capacity for another job.
 	preempted int
 	// moves counts how often the unit was moved for lack of progress.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -41,6 +41,10 @@
 	if !c.guaranteeOverdue && (p.searches >= maxSearches || p.now.Before(c.step.searchAgainAt)) {
 		return false
 	}
+	if found := p.waitable(c); found != nil {
+		p.waitFor(c, found)
+		return true
+	}
 	best := p.preemption(c)
 	if best == nil {
 		p.searchFailed(c)
@@ -98,7 +102,7 @@
 	var best *preemption
 	for _, openNodes := range p.nodeSets(c, count) {
 		for _, mayBeLate := range []bool{false, true} {
-			found := p.clear(c, p.fastEnough(c, openNodes, mayBeLate), count)
+			found := p.clear(c, p.fastEnough(c, openNodes, mayBeLate, p.s.Limits.StopTime), count, p.freeWait(c), true)
 			if found == nil {
 				continue
 			}
@@ -110,13 +114,13 @@
 	return best
 }
 
-// fastEnough returns the targets on which the candidate's job would end on time once runs
-// there have been stopped; all targets if it may be late.
-func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, mayBeLate bool) []*freeCapacity {
+// fastEnough returns the targets on which the candidate's job would end on time if it started there after
+// a wait; all targets if it may be late.
+func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, mayBeLate bool, wait time.Duration) []*freeCapacity {
 	if mayBeLate {
 		return openNodes
 	}
-	maxSeconds := safeSlackShare*c.slack - p.s.Limits.StopTime.Seconds()
+	maxSeconds := safeSlackShare*c.slack - wait.Seconds()
 	var out []*freeCapacity
 	for _, n := range openNodes {
 		if p.runSeconds(c, p.effectiveSpeed(c, n)) <= maxSeconds {
@@ -148,8 +152,9 @@
 }
 
 // clear finds the cheapest runs to stop on openNodes so that count members fit; nil if they do
-// not fit even then.
-func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int) *preemption {
+// not fit even then. Runs that are expected to end within wait count as ended; no others are stopped if
+// mayStop is false.
+func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int, wait time.Duration, mayStop bool) *preemption {
 	type option struct {
 		n          *freeCapacity
 		victims    []victim
@@ -167,16 +172,17 @@
 		if c.step.spec.MaxPerTarget > 0 {
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
-		// Capacity of runs that are being stopped already costs nothing more.
+		// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
+		until := p.now.Add(wait)
 		for _, m := range n.sorted {
-			if !m.stopDecided.IsZero() {
+			if !m.stopDecided.IsZero() || p.endsBy(m.unit, until) {
 				free = free.Plus(m.unit.step.spec.CapacityUse())
 			}
 		}
 		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
-		if o.maxMembers == 0 {
+		if o.maxMembers == 0 && mayStop {
 			for _, v := range p.victims(n) {
-				if !p.isVictim(v.unit, c, n) {
+				if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
 					continue
 				}
 				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
@@ -194,7 +200,9 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.loss/float64(a.maxMembers), b.loss/float64(b.maxMembers)) })
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.loss/float64(a.maxMembers), b.loss/float64(b.maxMembers)), cmp.Compare(b.maxMembers, a.maxMembers))
+	})
 	found := &preemption{}
 	missing := count
 	counted := map[*unit]bool{}
