--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -21,6 +21,9 @@
 	// time until the next search for the same step. They bound what a surge of urgent jobs costs.
 	maxSearches = 8
 	searchPause = 100 * time.Millisecond
+	// stepMargin is how long after a stop has ended its capacity may lie idle: the longest time until the
+	// step that uses it.
+	stepMargin = 120 * time.Millisecond
 	// likelyLate is the probability from which a job counts as late.
 	likelyLate = 0.5
 )
@@ -39,6 +42,10 @@
 	if !c.guaranteeOverdue && (p.searches >= maxSearches || p.now.Before(c.step.searchAgainAt)) {
 		return false
 	}
+	if found := p.waitable(c); found != nil {
+		p.waitFor(c, found)
+		return true
+	}
 	best := p.preemption(c)
 	if best == nil {
 		p.searchFailed(c)
@@ -75,7 +82,10 @@
 		return false
 	}
 	best := p.preemption(c)
-	if best == nil || best.loss > (best.value-c.valueIn(chosen.runSeconds))*maxLossShare {
+	if best == nil {
+		return false
+	}
+	if gain := best.value - c.valueIn(chosen.runSeconds); gain <= 0 || best.loss > gain*maxLossShare {
 		return false
 	}
 	if c.step.preemptFasterAt.IsZero() {
@@ -93,7 +103,7 @@
 	var best *preemption
 	for _, openNodes := range p.nodeSets(c, count) {
 		for _, mayBeLate := range []bool{false, true} {
-			found := p.clear(c, p.fastEnough(c, openNodes, mayBeLate), count)
+			found := p.clear(c, p.fastEnough(c, openNodes, mayBeLate, p.s.Limits.StopTime), count, p.freeWait(c), true)
 			if found == nil {
 				continue
 			}
@@ -105,13 +115,13 @@
 	return best
 }
 
-// fastEnough returns the targets on which the candidate's job would end on time once runs
-// there have been stopped; all targets if it may be late.
-func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, mayBeLate bool) []*freeCapacity {
+// fastEnough returns the targets on which the candidate's job would end on time if it started there after
+// a wait; all targets if it may be late.
+func (p *pass) fastEnough(c *candidate, openNodes []*freeCapacity, mayBeLate bool, wait time.Duration) []*freeCapacity {
 	if mayBeLate {
 		return openNodes
 	}
-	maxSeconds := safeSlackShare*c.slack - p.s.Limits.StopTime.Seconds()
+	maxSeconds := safeSlackShare*c.slack - wait.Seconds()
 	var out []*freeCapacity
 	for _, n := range openNodes {
 		if p.runSeconds(c, p.effectiveSpeed(c, n)) <= maxSeconds {
@@ -126,22 +136,26 @@
 		n.reserved = c.step
 	}
 	for _, v := range found.victims {
-		v.preempted++
-		p.s.stopUnit(p.now, v, "preempted for job "+c.step.job.ID)
+		v.unit.preempted++
+		p.s.dirty[v.unit.step.job.ID] = v.unit.step.job
+		p.s.stopUnitWith(p.now, v.unit, "preempted for job "+c.step.job.ID, Fields{
+			"for": c.step.job.ID, "loss": v.loss, "totalLoss": found.loss, "gain": found.value, "guaranteeOverdue": c.guaranteeOverdue, "preempted": v.unit.preempted,
+		})
 	}
 }
 
 // preemption is a set of targets and the units to stop on them.
 type preemption struct {
 	openNodes []*freeCapacity
-	victims   []*unit
+	victims   []victim
 	// loss is the value that the stops cost, and value what the candidate's job is then worth.
 	loss, value float64
 }
 
 // clear finds the cheapest runs to stop on openNodes so that count members fit; nil if they do
-// not fit even then.
-func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int) *preemption {
+// not fit even then. Runs that are expected to end within wait count as ended; no others are stopped if
+// mayStop is false.
+func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int, wait time.Duration, mayStop bool) *preemption {
 	type option struct {
 		n          *freeCapacity
 		victims    []victim
@@ -159,16 +173,17 @@
 		if c.step.spec.MaxPerTarget > 0 {
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
-		// Capacity of runs that are being stopped already costs nothing more.
+		// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
+		until := p.now.Add(wait)
 		for _, m := range n.sorted {
-			if !m.stopDecided.IsZero() {
+			if !m.stopDecided.IsZero() || p.endsBy(m.unit, until) {
 				free = free.Plus(m.unit.step.spec.CapacityUse())
 			}
 		}
 		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
-		if o.maxMembers == 0 {
+		if o.maxMembers == 0 && mayStop {
 			for _, v := range p.victims(n) {
-				if !v.unit.isVictim(c, n) {
+				if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
 					continue
 				}
 				o.victims, o.rank = append(o.victims, v), o.rank+v.rank
@@ -186,7 +201,9 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)) })
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)), cmp.Compare(b.maxMembers, a.maxMembers))
+	})
 	found := &preemption{}
 	missing := count
 	counted := map[*unit]bool{}
@@ -199,7 +216,7 @@
 		for _, v := range o.victims {
 			if !counted[v.unit] {
 				counted[v.unit] = true
-				found.victims, found.loss = append(found.victims, v.unit), found.loss+v.loss
+				found.victims, found.loss = append(found.victims, v), found.loss+v.loss
 			}
 		}
 	}
@@ -237,11 +254,15 @@
 	return victim{unit: u, loss: loss, rank: loss * shareFactor}
 }
 
-// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
-// and not being stopped there already.
-func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
+// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important,
+// not being stopped there already, and has not been stopped as often as the policy allows. An overdue
+// guarantee is not bound by that limit.
+func (p *pass) isVictim(u *unit, c *candidate, n *freeCapacity) bool {
 	if u.step.job.terms.Priority <= c.step.job.terms.Priority {
 		return false
 	}
+	if u.preempted >= p.s.Limits.Policy.MaxPreemptions && !c.guaranteeOverdue {
+		return false
+	}
 	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
 }
