Cold targets: limits, expected run times and a slow start

A target that has just started is slow for a while. The planner took it for a warm one: it filled a returning zone at once, learned a wrong speed from the runs there and moved them as slow.

The end of the cold time follows from the entry and its age. Expected run times, the limits of tasks and the usable capacity depend on it; runs on cold targets teach the slowdown and leave the usual speed alone. Nothing changes where ColdOverage is 0.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -74,6 +74,7 @@
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
 		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime, CordonTime: s.CordonTime,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 		Policy: weights,
 	}
 }
--- a/internal/loadmodel/fleet.go
+++ b/internal/loadmodel/fleet.go
@@ -37,11 +37,14 @@
 // modelTarget is one target.
 type modelTarget struct {
 	target.Listing
-	speed   float64
-	lost    bool
-	running map[target.Run]*modelRun
-	ended   []target.Ended
-	lastEnd int64
+	speed float64
+	lost  bool
+	// warmAt is when the target is no longer slowdown times as slow as usual.
+	warmAt   time.Duration
+	slowdown float64
+	running  map[target.Run]*modelRun
+	ended    []target.Ended
+	lastEnd  int64
 	// reportAt is when the next report is due.
 	reportAt time.Duration
 }
@@ -75,13 +78,13 @@
 }
 
 // speed returns the speed at which a whole gang advances, and 0 before it is whole.
-func (g *gang) speed(remoteFactor float64) float64 {
+func (g *gang) speed(now time.Duration, remoteFactor float64) float64 {
 	if len(g.members) < g.size {
 		return 0
 	}
 	slowest, racks := 1e9, map[string]bool{}
 	for _, on := range g.members {
-		slowest = min(slowest, on.speed)
+		slowest = min(slowest, on.speedAt(now))
 		racks[on.Rack] = true
 	}
 	if g.sameRack && len(racks) > 1 {
@@ -90,12 +93,20 @@
 	return slowest
 }
 
+// speedAt returns the target's speed at a time.
+func (t *modelTarget) speedAt(now time.Duration) float64 {
+	if now < t.warmAt {
+		return t.speed / t.slowdown
+	}
+	return t.speed
+}
+
 func newFleet(w *Workload, random *rand.Rand) *fleet {
 	f := &fleet{random: random, byID: map[string]*modelTarget{}, gangs: map[gangKey]*gang{}, remoteFactor: max(w.RemoteFactor, 1)}
-	for _, listing := range w.listings() {
+	for i, listing := range w.listings() {
 		on := &modelTarget{
 			Listing: listing, speed: w.Speeds[random.IntN(len(w.Speeds))], running: map[target.Run]*modelRun{},
-			reportAt: time.Duration(random.Int64N(int64(reportPeriod))),
+			reportAt: time.Duration(random.Int64N(int64(reportPeriod))), lost: w.returning(i),
 		}
 		f.targets = append(f.targets, on)
 		f.byID[on.ID] = on
@@ -159,9 +170,9 @@
 	wasted := 0.0
 	for _, on := range f.targets {
 		for _, run := range on.sortedRuns() {
-			speed := on.speed
+			speed := on.speedAt(now)
 			if run.gang != nil {
-				speed = run.gang.speed(f.remoteFactor)
+				speed = run.gang.speed(now, f.remoteFactor)
 			}
 			run.done += speed * tick.Seconds()
 			switch {
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -44,6 +44,8 @@
 	report    Report
 	// lost counts the losses that have happened.
 	lost int
+	// returned says that Workload.Return has happened.
+	returned bool
 }
 
 // Run plays the whole workload and returns what became of its jobs.
@@ -62,15 +64,38 @@
 	random := rand.New(rand.NewPCG(m.Seed, 0))
 	m.scheduler = &scheduler.Scheduler{Log: m.Log, Limits: scheduler.Limits{
 		TaskLease: taskLease, RenewalHorizon: renewalHorizon, RemoteFactor: m.Workload.RemoteFactor, Retention: retention,
-		CheckpointPeriod: checkpointPeriod, StopTime: stopTime,
+		CheckpointPeriod: checkpointPeriod, StopTime: stopTime, ColdOverage: m.Workload.ColdOverage, ColdSlack: m.Workload.ColdSlack,
 	}}
 	m.scheduler.Configure(m.Workload.catalogue())
 	m.fleet = newFleet(&m.Workload, random)
 	m.arrivals = m.Workload.arrivals(random)
 	m.byJob = map[string]*arrival{}
 	for _, on := range m.fleet.targets {
-		m.scheduler.TargetListed(m.time(), on.Listing)
-		m.scheduler.ReportReceived(m.time(), on.ID, m.time(), target.Report{Born: 1, Clock: clockOffset})
+		if !on.lost {
+			m.list(on)
+		}
+	}
+}
+
+// list has a target appear, with a report.
+func (m *Model) list(on *modelTarget) {
+	m.scheduler.TargetListed(m.time(), on.Listing)
+	m.scheduler.ReportReceived(m.time(), on.ID, m.time(), target.Report{Born: 1, Clock: m.now + clockOffset})
+}
+
+// returnTargets lets the zone return that is away until then.
+func (m *Model) returnTargets() {
+	back := &m.Workload.Return
+	if back.Share == 0 || m.returned || m.now < back.At {
+		return
+	}
+	m.returned = true
+	for i, on := range m.fleet.targets {
+		if m.Workload.returning(i) {
+			on.lost, on.warmAt, on.slowdown = false, m.now+back.ColdTime, back.Slowdown
+			on.ColdRemaining, on.Clock = back.ColdTime, m.now+clockOffset
+			m.list(on)
+		}
 	}
 }
 
@@ -83,6 +108,7 @@
 	m.now += tick
 	m.submit()
 	m.loseTargets()
+	m.returnTargets()
 	m.report.Wasted += m.fleet.advance(m.now, tick, m.needs)
 	for _, on := range m.fleet.targets {
 		if on.lost || m.now < on.reportAt {
--- a/internal/loadmodel/workload.go
+++ b/internal/loadmodel/workload.go
@@ -61,6 +61,11 @@
 	Surges []Surge
 	// Losses are times at which a part of the targets is lost.
 	Losses []Loss
+	// Return is the return of a zone; the zero Return is none.
+	Return Return
+	// ColdOverage and ColdSlack are as in the scheduler's limits.
+	ColdOverage float64
+	ColdSlack   int
 }
 
 // Surge multiplies the submissions of one class for some time.
@@ -76,6 +81,18 @@
 	At    time.Duration
 }
 
+// Return is the return of a zone that is away from the start: the last targets, a share of all. They are
+// Slowdown times as slow for ColdTime after it.
+type Return struct {
+	Share    float64
+	At       time.Duration
+	ColdTime time.Duration
+	Slowdown float64
+}
+
+// returning reports whether a target is away until the return.
+func (w *Workload) returning(i int) bool { return float64(i) >= float64(w.Targets)*(1-w.Return.Share) }
+
 const service = "service"
 
 // Mixed returns a workload of urgent gangs, large jobs and many small ones that keeps most of
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -11,6 +11,7 @@
 func (p *pass) begin(s *Scheduler, now time.Time) {
 	p.s, p.now, p.reservations, p.searches = s, now, 0, 0
 	p.empty()
+	p.countWarmTasks()
 	// The lists hold pointers into capacities, so it must not grow while it is filled.
 	if cap(p.capacities) < len(s.ordered) {
 		p.capacities = make([]freeCapacity, 0, len(s.ordered))
@@ -32,7 +33,7 @@
 		if !p.isEligible(n, ignorePauses) {
 			continue
 		}
-		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used)})
+		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used), cold: p.coldLimit(n)})
 		p.add(&p.capacities[len(p.capacities)-1])
 	}
 }
@@ -103,4 +104,5 @@
 	total := p.usage[n.Service]
 	total.used = total.used.Plus(use)
 	n.hasReleases, n.hasVictims = false, false
+	n.cold.take(use)
 }
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -42,12 +42,17 @@
 }
 
 // effectiveSpeed returns the speed at which a task of the step would run on a target, reduced
-// by RemoteFactor where the target is not in the rack of the step's data.
+// by RemoteFactor where the target is not in the rack of the step's data, and as long as the target is cold.
 func (p *pass) effectiveSpeed(c *candidate, n *freeCapacity) float64 {
+	speed := n.speed
 	if spec := c.step.spec; spec.DataRack != "" && spec.DataRack != n.Rack {
-		return n.speed / max(p.s.Limits.RemoteFactor, 1)
+		speed /= max(p.s.Limits.RemoteFactor, 1)
 	}
-	return n.speed
+	if n.cold.left > 0 {
+		warmSeconds := p.runSeconds(c, speed)
+		speed *= warmSeconds / p.s.secondsFromCold(warmSeconds, n.cold.left.Seconds())
+	}
+	return speed
 }
 
 // runSeconds returns how many seconds a task of the step takes at a speed.
@@ -173,7 +178,7 @@
 		if c.step.spec.MaxPerTarget > 0 {
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
-		maxMembers := c.step.spec.CapacityUse().CountFitting(n.free, limit)
+		maxMembers := n.countFitting(c.step.spec.CapacityUse(), n.free, limit)
 		options = append(options, memberOption{freeCapacity: n, effectiveSpeed: p.effectiveSpeed(c, n), maxMembers: maxMembers})
 		total += maxMembers
 	}
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -49,6 +49,7 @@
 	delete(s.handover.inherited, n.ID)
 	former := n.Born
 	n.Born, n.clock, n.clockAt, n.leaseEnd, n.lastEnd, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
+	n.restartCold(now)
 	for _, m := range n.sortedMembers() {
 		switch {
 		case m.state == memberAwaitingWrite:
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -62,6 +62,7 @@
 	// ended, whichever incarnation received them.
 	leaseOverAt time.Time
 	lastContact time.Time
+	cold        coldTime
 	// silentSince is when all leases were first found to have ended after lastContact.
 	silentSince time.Time
 	// renewalSentAt is when the first renewal after lastContact was sent. The target has not
@@ -150,10 +151,11 @@
 	if listing.Born != n.Born {
 		s.recordIncarnation(now, n, listing.Born)
 	}
+	n.recordCold(now, listing)
 	if !n.listed || n.Draining != listing.Draining {
 		s.log("target listed", n.fields(now).with(Fields{
 			"born": listing.Born, "formerBorn": n.Born, "entryClock": listing.Clock, "runs": len(n.members),
-			"draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack,
+			"draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack, "cold": s.coldLeft(now, n),
 		}))
 	}
 	switch {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -27,6 +27,7 @@
 type freeCapacity struct {
 	*node
 	free workload.Resources
+	cold coldLimit
 	// rack is the index of the target's rack in pass.racks.
 	rack int
 	// reserved is the step for which the target's capacity is reserved.
@@ -60,6 +61,8 @@
 	rackFree []workload.Resources
 	// usage holds the capacity of each service and how much of it is used.
 	usage map[string]*usage
+	// warmTasks sums up the tasks on the warm targets of each service.
+	warmTasks map[string]weightedSum
 	// bySpeed and byCost hold the options for the gang that is being placed.
 	bySpeed, byCost []memberOption
 	// couldHold holds what rackCouldHold has found.
@@ -164,7 +167,7 @@
 // fits reports whether one more task of the step may run on a target.
 func (p *pass) fits(c *candidate, n *freeCapacity) bool {
 	spec := c.step.spec
-	if n.Service != c.step.job.terms.Service || !spec.CapacityUse().Fits(n.free) || !n.hasLabel(spec.RequiredLabel) {
+	if n.Service != c.step.job.terms.Service || n.countFitting(spec.CapacityUse(), n.free, 1) == 0 || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
 	if n.reserved != nil && n.reserved != c.step {
@@ -263,7 +266,11 @@
 			n.perStep[c.step]++
 		}
 		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
-		p.s.log("run placed", m.fields(p.now).with(Fields{
+		fields := m.fields(p.now)
+		if n.cold.left > 0 {
+			fields["coldRemaining"] = n.cold.left
+		}
+		p.s.log("run placed", fields.with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "value": c.value, "weight": c.weight, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -164,7 +164,7 @@
 				free = free.Plus(m.unit.step.spec.CapacityUse())
 			}
 		}
-		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
+		o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit)
 		if o.maxMembers == 0 {
 			for _, v := range p.victims(n) {
 				if !v.unit.isVictim(c, n) {
@@ -176,7 +176,7 @@
 						free = free.Plus(v.unit.step.spec.CapacityUse())
 					}
 				}
-				if o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit); o.maxMembers > 0 {
+				if o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit); o.maxMembers > 0 {
 					break
 				}
 			}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -48,6 +48,8 @@
 	increasedAt time.Time
 	// reportedAt is when the target last reported the run.
 	reportedAt time.Time
+	// cold says that a target of the run was cold at the last measurement.
+	cold bool
 	// firstAt and firstPercent are the first measurement of the run.
 	firstAt      time.Time
 	firstPercent int
@@ -65,9 +67,10 @@
 	if m.unit.step.spec.LongRunning {
 		return
 	}
-	p := &m.progress
-	if p.at.IsZero() || running.Percent < p.percent {
-		*p = progress{percent: running.Percent, at: now, increasedAt: now, reportedAt: now, firstAt: now, firstPercent: running.Percent}
+	p, cold := &m.progress, s.unitColdLeft(now, m.unit) > 0
+	if p.at.IsZero() || running.Percent < p.percent || cold != p.cold {
+		// A rate from before and after the end of the cold time would tell neither speed.
+		*p = progress{percent: running.Percent, at: now, increasedAt: now, reportedAt: now, firstAt: now, firstPercent: running.Percent, cold: cold}
 		return
 	}
 	p.reportedAt = now
@@ -80,6 +83,10 @@
 	}
 	p.rate = float64(running.Percent-p.percent) / 100 / took.Seconds()
 	p.percent, p.at = running.Percent, now
+	if cold {
+		s.observeCold(now, m)
+		return
+	}
 	if sinceFirst := now.Sub(p.firstAt); running.Percent > p.firstPercent {
 		s.recordObservation(now, m, running.Percent-p.firstPercent, sinceFirst)
 	}
@@ -144,16 +151,25 @@
 func (s *Scheduler) memberRemainingTime(now time.Time, m *member) time.Duration {
 	p, u := &m.progress, m.unit
 	total := s.taskDuration(u.step).Seconds() * u.remoteSlowdown(s.Limits.RemoteFactor) / max(m.node.speed, minSpeed)
+	coldLeft := s.unitColdLeft(now, u).Seconds()
 	if p.at.IsZero() {
-		return time.Duration(max(total-runningFor(now, u).Seconds(), 0) * float64(time.Second))
+		ran := runningFor(now, u).Seconds()
+		if coldLeft > 0 {
+			total = s.secondsFromCold(total, coldLeft+ran)
+		}
+		return time.Duration(max(total-ran, 0) * float64(time.Second))
 	}
 	remaining := float64(100-p.percent) / 100
 	stalled := p.stalledFor()
-	if p.rate <= 0 || stalled > stalledAfter {
+	if p.rate <= 0 || stalled > s.stallTime(p) {
 		// A stalled run is expected to stay stalled for as long again.
-		return stalled + time.Duration(remaining*total*float64(time.Second))
+		return stalled + time.Duration(s.secondsFromCold(remaining*total, coldLeft)*float64(time.Second))
+	}
+	seconds := remaining / p.rate
+	if p.cold {
+		seconds = s.secondsFromCold(seconds/s.coldSlowdown(), coldLeft+now.Sub(p.at).Seconds())
 	}
-	return max(0, time.Duration(remaining/p.rate*float64(time.Second))-now.Sub(p.at))
+	return max(0, time.Duration(seconds*float64(time.Second))-now.Sub(p.at))
 }
 
 func runningFor(now time.Time, u *unit) time.Duration {
@@ -202,7 +218,8 @@
 	if m.state != memberConfirmed || !m.stopDecided.IsZero() || u.moves >= maxMoves || u.step.spec.LongRunning || p.at.IsZero() || p.percent >= nearlyDonePercent {
 		return false
 	}
-	if p.stalledFor() <= stalledAfter && runningFor(now, u) < slowAfter {
+	stalled := p.stalledFor() > s.stallTime(p)
+	if !stalled && (runningFor(now, u) < slowAfter || p.cold) {
 		return false
 	}
 	return float64(s.memberRemainingTime(now, m)) >= moveFactor*float64(s.timeIfMoved(u))
@@ -214,7 +231,7 @@
 	u.moves++
 	u.avoidTarget = n.ID
 	stalled := m.progress.stalledFor()
-	if stalled > stalledAfter {
+	if stalled > s.stallTime(&m.progress) {
 		n.pause(now.Add(failurePause))
 	}
 	s.log("run moved", Fields{
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -74,15 +74,18 @@
 // task would not fit even after all runs there have ended.
 func (p *pass) capacityAt(spec *workload.Step, n *freeCapacity) (time.Time, bool) {
 	free := n.free
-	if spec.CapacityUse().Fits(free) {
+	if n.countFitting(spec.CapacityUse(), free, 1) > 0 {
 		return p.now, true
 	}
 	for _, r := range p.releases(n) {
 		free = free.Plus(r.use)
-		if spec.CapacityUse().Fits(free) {
+		if n.countFitting(spec.CapacityUse(), free, 1) > 0 {
 			return r.at, true
 		}
 	}
+	if n.cold.left > 0 && spec.CapacityUse().Fits(free) {
+		return p.now.Add(n.cold.left), true
+	}
 	return time.Time{}, false
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -72,6 +72,7 @@
 	hasNewObservations bool
 	lastFit            time.Time
 	load               loadState
+	coldPace           coldPace
 }
 
 // Fields describe a decision in the log.
@@ -98,6 +99,10 @@
 	// CordonTime is how long after the request for a cordon was acknowledged starts in its zone have to
 	// have ended; 0 if there is no such bound.
 	CordonTime time.Duration
+	// ColdOverage is how many times as many tasks as warm targets have on average a cold one is given at most,
+	// and ColdSlack how many tasks more. Cold targets are treated as warm ones if ColdOverage is 0.
+	ColdOverage float64
+	ColdSlack   int
 	// Policy holds the weights of decisions; the zero Policy stands for its defaults.
 	Policy policy.Policy
 }
