--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,7 +5,6 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/coordinator"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
-	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 )
 
@@ -68,14 +67,15 @@
 	return nil
 }
 
-// limits returns the scheduler's limits that follow from the settings, and its policy.
-func (s *Settings) limits(weights policy.Policy) scheduler.Limits {
+// limits returns the scheduler's limits that follow from the settings of the host and of the product.
+func (e *Entry) limits() scheduler.Limits {
+	s, weights := &e.Settings, e.Own.SchedulingPolicy()
 	return scheduler.Limits{
 		TaskLease: min(s.MaxTaskLease, taskLeaseLimit), RenewalHorizon: coordinator.RenewalHorizon,
 		RemoteFactor: max(s.RemoteFactor, 1), Retention: s.Retention + retentionMargin,
 		CheckpointPeriod: s.CheckpointPeriod, StopTime: s.StopTime, DrainTime: s.DrainTime, CordonTime: s.CordonTime,
 		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
-		Policy: weights,
+		Policy: weights, ShareHalfLife: weights.ShareHalfLife,
 	}
 }
 
--- a/internal/host/api.go
+++ b/internal/host/api.go
@@ -22,6 +22,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
+	"github.com/eelgrasstide/eelgrasstide/internal/planner"
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
@@ -56,6 +57,8 @@
 	operator.Get("/configuration", h.getConfiguration)
 	operator.Get("/configuration/history", h.getHistory)
 	operator.Post("/configuration", h.postConfiguration)
+	operator.Get("/cordons", h.getCordons)
+	operator.Post("/cordons", h.postCordon)
 	if err := app.Build(); err != nil {
 		h.log.Errorf("the HTTP routes could not be built: %v", err)
 	}
@@ -152,6 +155,11 @@
 	case h.configuration.Revision() == 0:
 		return false, "no configuration yet"
 	}
+	select {
+	case <-h.zones.Known():
+	default:
+		return false, "the cordons of zones are not known yet"
+	}
 	return true, "ready"
 }
 
@@ -225,6 +233,9 @@
 			out.Lines = h.explainFromRecord(c.Request().Context(), job)
 		}
 	}
+	if record := h.zones.Cordon(h.Settings.GetZone()); record != nil && answer.GetJob() == nil && answer.GetState() == wire.WorkState_WORK_STATE_PENDING && answer.GetAttempts() == 0 {
+		out.Lines = append(out.Lines, "waits: "+planner.CordonReason(record))
+	}
 	if answer.GetReason() != "" {
 		out.Lines = append(out.Lines, answer.GetReason())
 	}
@@ -237,7 +248,11 @@
 // explainFromRecord returns the history from the job's record. It is used when this host's
 // planner does not hold the job, usually because another host plans the job's zone.
 func (h *Host) explainFromRecord(_ context.Context, job *wire.JobRecord) []string {
-	return append([]string{fmt.Sprintf("the job is planned in zone %s", job.GetZone())}, job.GetHistory()...)
+	lines := append([]string{fmt.Sprintf("the job is planned in zone %s", job.GetZone())}, job.GetHistory()...)
+	if record := h.zones.Cordon(job.GetZone()); record != nil && job.GetState() == wire.JobState_JOB_STATE_WAITING {
+		lines = append(lines, "waits: "+planner.CordonReason(record))
+	}
+	return lines
 }
 
 func stateName(state wire.WorkState) string {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -36,6 +37,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
 	"github.com/eelgrasstide/eelgrasstide/internal/store"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
+	"github.com/eelgrasstide/eelgrasstide/internal/zones"
 )
 
 const (
@@ -46,6 +48,9 @@
 	// journalGrace is the time in which a stopping journal may still write queued records.
 	journalGrace    = 3 * time.Second
 	stopCallTimeout = 2 * time.Second
+	// shutdownTimeout is how long a stopping host waits for clients to take their responses, once all
+	// accepted requests have ended.
+	shutdownTimeout = 10 * time.Second
 )
 
 // Host is one entry host. Set Settings before Run.
@@ -61,6 +66,7 @@
 	httpClient    *http.Client
 	hostList      wire.HostList
 	configuration *configuration.Configuration
+	zones         *zones.Zones
 	membership    *membership.Membership
 	journal       *journal.Journal
 	dispatcher    *dispatcher.Dispatcher
@@ -97,7 +103,10 @@
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	ends := background.Start(loopsCtx, h.loops()...)
+	callContext, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelCalls()
 	server := h.ingress.Server(h.handler())
+	server.BaseContext = func(net.Listener) context.Context { return callContext }
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -107,7 +116,7 @@
 	case end := <-ends:
 		return fmt.Errorf("Host.Run: background loop %s ended: %w", end.Name, end.Err)
 	}
-	h.stop(server)
+	h.stop(server, cancelCalls)
 	stopLoops()
 	for end := range ends {
 		h.log.Debugf("background loop %s ended: %v", end.Name, end.Err)
@@ -133,12 +142,13 @@
 		{Name: "journal", Run: func(ctx context.Context) error { return h.journal.Run(ctx, journalGrace) }},
 		{Name: "dispatcher", Run: h.dispatcher.Run},
 		{Name: "configuration", Run: h.configuration.Run},
+		{Name: "cordons", Run: h.zones.Run},
 		{Name: "hostLease", Run: h.membership.KeepLease},
 		{Name: "hosts", Run: h.membership.ReadHosts},
 		{Name: "platformList", Run: h.membership.ReadList},
 		{Name: "heartbeats", Run: h.membership.SendHeartbeats},
 		{Name: "leadership", Run: h.leadership.Run},
-		{Name: "planner", Run: h.planner.Run},
+		{Name: "planner", Run: h.plan},
 		{Name: "jobs", Run: h.planner.Watch},
 		{Name: "recovery", Run: h.recovery.Run},
 	}
@@ -146,9 +156,9 @@
 
 // stop ends the host without interrupting an accepted request. It stops reporting ready
 // and publishes that it is leaving. It waits for the time stopNotice, so that load balancers and
-// other hosts stop sending requests, and then for the accepted requests to end. Last, it gives
-// up the leases of the planner and the host.
-func (h *Host) stop(server *http.Server) {
+// other hosts stop sending requests, and then for the accepted requests to end. Requests whose bodies
+// have not arrived 2 s later are refused. Last, it gives up the leases of the planner and the host.
+func (h *Host) stop(server *http.Server, cancelCalls context.CancelFunc) {
 	h.log.Info("stopping: no longer ready")
 	h.stopping.Store(true)
 	leaveCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
@@ -158,7 +168,10 @@
 	h.log.Info("stopping: waiting for accepted requests to end")
 	close(h.stopPolls)
 	h.dispatcher.Drain(context.Background())
-	if err := server.Shutdown(context.Background()); err != nil {
+	defer time.AfterFunc(stopCallTimeout, cancelCalls).Stop()
+	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(shutdownCtx); err != nil {
 		h.log.Warnf("the HTTP server did not shut down cleanly: %v", err)
 	}
 	releaseCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
@@ -179,6 +192,7 @@
 	}
 	h.hostList = wire.NewHostListProtobufClient("http://"+hostSettings.GetHostList(), h.httpClient)
 	h.configuration = &configuration.Configuration{Store: h.store, OnChange: h.rulesChanged}
+	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Log: h.log}
 	h.journal = &journal.Journal{Store: h.store, Incarnation: h.incarnation, Writer: h.incarnation}
 	h.dispatcher = h.newDispatcher()
 	h.dispatcher.Prepare(ctx)
@@ -187,6 +201,7 @@
 	}
 	h.planner = &planner.Planner{
 		Zone: hostSettings.GetZone(), Store: h.store, Leadership: h.leadership, Rules: h.configuration.Current, Worker: h.worker,
+		Cordon: func() *wire.CordonRecord { return h.zones.Cordon(hostSettings.GetZone()) },
 		Period: hostSettings.GetPlannerPeriod().AsDuration(), TaskLease: hostSettings.GetTaskLease().AsDuration(),
 	}
 	h.membership = h.newMembership()
@@ -214,7 +229,7 @@
 		Self:  &wire.HostRecord{Name: hostSettings.GetName(), Zone: hostSettings.GetZone(), Address: h.address.String(), Incarnation: h.incarnation},
 		Store: h.store, List: h.hostList, Peers: h.peers, Lease: hostSettings.GetHostLease().AsDuration(), Heartbeat: hostSettings.GetHeartbeatPeriod().AsDuration(),
 		Revision: h.configuration.Revision, Departures: h.dispatcher.Departures, OnTargetLeaving: h.dispatcher.MarkLeaving,
-		OnNewerConfiguration: h.fetchConfiguration, Listed: h.listed,
+		Cordons: h.zones.View, OnCordons: h.zones.MergeView, OnNewerConfiguration: h.fetchConfiguration, Listed: h.listed,
 	}
 }
 
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -65,6 +65,7 @@
 	m.scheduler = &scheduler.Scheduler{Log: m.Log, Limits: scheduler.Limits{
 		TaskLease: taskLease, RenewalHorizon: renewalHorizon, RemoteFactor: m.Workload.RemoteFactor, Retention: retention,
 		CheckpointPeriod: checkpointPeriod, StopTime: stopTime, ColdOverage: m.Workload.ColdOverage, ColdSlack: m.Workload.ColdSlack,
+		ShareHalfLife: m.Workload.ShareHalfLife,
 	}}
 	m.scheduler.Configure(m.Workload.catalogue())
 	m.fleet = newFleet(&m.Workload, random)
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -198,14 +198,14 @@
 		units = append(units, &wire.UnitRecord{Index: int32(i), Run: 1, Targets: []string{f.listing(i).ID}})
 	}
 	f.Restore(f.now, &workload.Job{ID: "a", Queue: "batch", Organisation: "o", Steps: []workload.Step{smallStep(tasks)}}, &wire.ProgressRecord{Units: units})
-	f.Usage = func(time.Time) map[string]float64 {
-		used := map[string]float64{}
-		for i := range tasks {
-			used[f.listing(i).ID] = float64(i)
-		}
-		return used
+	f.Limits.ShareHalfLife = time.Hour
+	used := map[string]float64{}
+	for i := range tasks {
+		used[f.listing(i).ID] = float64(i)
 	}
+	f.InheritUsage(f.now, used)
 	f.advance(4 * time.Second)
+	f.Step(f.now)
 	record := f.OfferHandover(f.now)
 	if targets, organisations := len(record.GetSilentTargets()), len(record.GetUsedTargetSeconds()); targets != 2000 || organisations != 300 {
 		t.Errorf("have %d targets and %d organisations, want 2000 and 300", targets, organisations)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,6 +25,8 @@
 	work      float64
 	// estimate is that of the job's queue.
 	estimate *estimate
+	// cordonLogged is when it was last logged that the job waits for a cordoned zone.
+	cordonLogged time.Time
 }
 
 // occurrence is one run of all the job's steps.
@@ -88,6 +90,8 @@
 	unit  *unit
 	index int
 	node  *node
+	// use is what its organisation uses, this member included.
+	use *organisationUse
 	// run is the run as its target knows it.
 	run   target.Run
 	state memberState
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -90,6 +90,7 @@
 // place starts the units for which there is free capacity, in the order of the candidates.
 func (s *Scheduler) place(now time.Time) {
 	candidates := s.candidates(now)
+	s.shares.short = false
 	if len(candidates) == 0 {
 		clear(s.backlogs)
 		return
@@ -126,6 +127,8 @@
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
 		if p.unplaceable[requirements] {
+			p.s.shares.short = true
+			p.logCordonWait(c, requirements)
 			break
 		}
 		var chosen placement
@@ -135,11 +138,13 @@
 			chosen = p.placeTask(c, u)
 		}
 		if chosen.openNodes == nil {
-			p.unplaceable[requirements] = true
+			p.unplaceable[requirements], p.s.shares.short = true, true
+			p.logCordonWait(c, requirements)
 			p.reserve(c)
 			break
 		}
 		if p.preemptFaster(c, chosen) {
+			p.s.shares.short = true
 			break
 		}
 		p.startRun(c, u, chosen)
@@ -272,6 +277,7 @@
 		}
 		p.s.log("run placed", fields.with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "value": c.value, "weight": c.weight, "guaranteed": c.guaranteed,
+			"organisation": j.Organisation, "shareFactor": p.s.shareFactor(j),
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
 		}))
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -28,8 +28,9 @@
 // victim is a unit whose run could be stopped to free capacity.
 type victim struct {
 	unit *unit
-	// loss is the value that stopping it costs.
-	loss float64
+	// loss is the value that stopping it costs, and rank is that times the share factor of its organisation:
+	// those above their fair part lose runs first, but no more runs are stopped for that.
+	loss, rank float64
 }
 
 // preempt stops less important runs so that a candidate of priority 0 fits, if the job's value
@@ -144,7 +145,7 @@
 	type option struct {
 		n          *freeCapacity
 		victims    []victim
-		loss       float64
+		rank       float64
 		maxMembers int
 	}
 	var options []option
@@ -170,7 +171,7 @@
 				if !v.unit.isVictim(c, n) {
 					continue
 				}
-				o.victims, o.loss = append(o.victims, v), o.loss+v.loss
+				o.victims, o.rank = append(o.victims, v), o.rank+v.rank
 				for _, m := range v.unit.members {
 					if m.node == n.node {
 						free = free.Plus(v.unit.step.spec.CapacityUse())
@@ -185,7 +186,7 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.loss/float64(a.maxMembers), b.loss/float64(b.maxMembers)) })
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)) })
 	found := &preemption{}
 	missing := count
 	counted := map[*unit]bool{}
@@ -226,12 +227,16 @@
 		if m.state == memberAwaitingWrite || u.step.spec.LongRunning || slices.ContainsFunc(n.victims, known) {
 			continue
 		}
-		n.victims = append(n.victims, victim{unit: u, loss: p.s.loss(p.now, u)})
+		n.victims = append(n.victims, newVictim(u, p.s.loss(p.now, u), p.s.shareFactor(u.step.job)))
 	}
-	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.rank, b.rank) })
 	return n.victims
 }
 
+func newVictim(u *unit, loss, shareFactor float64) victim {
+	return victim{unit: u, loss: loss, rank: loss * shareFactor}
+}
+
 // isVictim reports whether a unit may be stopped on a target for a candidate: it is less important
 // and not being stopped there already.
 func (u *unit) isVictim(c *candidate, n *freeCapacity) bool {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,14 +26,11 @@
 	Limits Limits
 	// Log receives one event for each decision; nil discards them.
 	Log func(event string, fields Fields)
-	// Usage returns the capacity that each organisation has used, for a successor, and InheritUsage takes over
-	// what a former planner wrote; nil for none.
-	Usage        func(now time.Time) map[string]float64
-	InheritUsage func(now time.Time, used map[string]float64)
 
 	catalogue *catalogue.Catalogue
 	// cordons is what is known of the cordons; nil until SetCordons.
-	cordons *cordon.Set
+	cordons     *cordon.Set
+	cordonWaits cordonWaits
 	// jobs and nodes hold the known jobs and targets by ID; estimates holds one estimate for
 	// each queue, by its name.
 	jobs      map[string]*job
@@ -59,6 +56,7 @@
 	// checkedAt is when the conditions that depend on the time alone were last checked.
 	checkedAt time.Time
 	pass      pass
+	shares    shares
 	// starts, stops and wake are collected for the plan of the next step.
 	starts []Start
 	stops  []Stop
@@ -105,6 +103,9 @@
 	ColdSlack   int
 	// Policy holds the weights of decisions; the zero Policy stands for its defaults.
 	Policy policy.Policy
+	// ShareHalfLife is the time after which capacity that an organisation used counts half when
+	// organisations compete; 0 if their use is not considered.
+	ShareHalfLife time.Duration
 }
 
 // Start is a run to be started once the writes of its step are durable.
@@ -284,7 +285,7 @@
 func (s *Scheduler) stopMember(now time.Time, m *member, reason string) {
 	m.stopDecided = now
 	s.stops = append(s.stops, Stop{Run: m.run, Target: m.node.ID})
-	s.log("run stopped", m.fields(now).with(Fields{"reason": reason}))
+	s.log("run stopped", m.fields(now).with(Fields{"reason": reason, "organisation": m.unit.step.job.Organisation, "shareFactor": s.shareFactor(m.unit.step.job)}))
 }
 
 // logClosed logs that a member is about to be closed, unless it is closed already.
@@ -304,6 +305,7 @@
 	}
 	u.members = slices.Concat(u.members[:i], u.members[i+1:])
 	m.node.remove(m)
+	m.closeUse()
 	if len(u.members) == 0 && !u.done {
 		u.step.idleUnits++
 	}
