--- a/internal/scheduler/cold_test.go
+++ b/internal/scheduler/cold_test.go
@@ -50,6 +50,9 @@
 		if have += countOn(f.startAll()); have != step.want {
 			t.Errorf("after %s: have %d tasks on the cold target, want %d", step.after, have, step.want)
 		}
+		if cold := f.ColdTargets(f.now) == 1; cold != (step.after < coldTime) {
+			t.Errorf("after %s: is the target counted as cold: %t", step.after, cold)
+		}
 	}
 }
 
