--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -180,7 +180,7 @@
 				free = free.Plus(m.unit.step.spec.CapacityUse())
 			}
 		}
-		o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit)
+		o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit)
 		if o.maxMembers == 0 && mayStop {
 			for _, v := range p.victims(n) {
 				if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
@@ -192,7 +192,7 @@
 						free = free.Plus(v.unit.step.spec.CapacityUse())
 					}
 				}
-				if o.maxMembers = c.step.spec.CapacityUse().CountFitting(free, limit); o.maxMembers > 0 {
+				if o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit); o.maxMembers > 0 {
 					break
 				}
 			}
