Load model: targets that fail or hang what they start

Faults let a share of the targets fail or hang runs for some time. The report counts the runs of gangs that broke, and those that broke on a target on which a run had failed before they started.

--- a/internal/loadmodel/fleet.go
+++ b/internal/loadmodel/fleet.go
@@ -20,6 +20,8 @@
 	// checkpointPeriod is the running time between two checkpoints.
 	checkpointPeriod = time.Second
 	clockOffset      = time.Minute
+	// faultyProgress is the part of a run's work, as a divisor, after which it fails on a faulty target.
+	faultyProgress = 10
 )
 
 var address = netip.MustParseAddrPort("192.0.2.1:80")
@@ -30,6 +32,10 @@
 	targets []*modelTarget
 	byID    map[string]*modelTarget
 	gangs   map[gangKey]*gang
+	// gangsBroken counts the runs of gangs that ended because a member failed or hung.
+	gangsBroken int
+	// brokenAgain counts those that were broken by a target on which another run had failed before they started.
+	brokenAgain int
 	// remoteFactor is how many times as long a gang runs that is spread over racks.
 	remoteFactor float64
 }
@@ -37,11 +43,15 @@
 // modelTarget is one target.
 type modelTarget struct {
 	target.Listing
-	speed   float64
-	lost    bool
-	running map[target.Run]*modelRun
-	ended   []target.Ended
-	lastEnd int64
+	speed float64
+	lost  bool
+	// failShare and hangShare are the shares of the runs that fail or hang if they start now.
+	failShare, hangShare float64
+	// failedAt is when a run last failed here.
+	failedAt time.Duration
+	running  map[target.Run]*modelRun
+	ended    []target.Ended
+	lastEnd  int64
 	// reportAt is when the next report is due.
 	reportAt time.Duration
 }
@@ -52,7 +62,9 @@
 	class      int
 	work, done float64
 	// failAt is the work after which the run fails; 0 if it does not.
-	failAt   float64
+	failAt float64
+	// hangs says that the run makes no progress.
+	hangs    bool
 	stopping time.Duration
 	since    time.Duration
 	gang     *gang
@@ -80,7 +92,10 @@
 		return 0
 	}
 	slowest, racks := 1e9, map[string]bool{}
-	for _, on := range g.members {
+	for run, on := range g.members {
+		if member := on.running[run]; member != nil && member.hangs {
+			return 0
+		}
 		slowest = min(slowest, on.speed)
 		racks[on.Rack] = true
 	}
@@ -90,6 +105,16 @@
 	return slowest
 }
 
+// hangs reports whether a member hangs.
+func (g *gang) hangs() bool {
+	for run, on := range g.members {
+		if member := on.running[run]; member != nil && member.hangs {
+			return true
+		}
+	}
+	return false
+}
+
 func newFleet(w *Workload, random *rand.Rand) *fleet {
 	f := &fleet{random: random, byID: map[string]*modelTarget{}, gangs: map[gangKey]*gang{}, remoteFactor: max(w.RemoteFactor, 1)}
 	for _, listing := range w.listings() {
@@ -119,6 +144,10 @@
 	if f.random.Float64() < class.FailureShare {
 		run.failAt = run.done + (run.work-run.done)/2
 	}
+	if f.random.Float64() < on.failShare {
+		run.failAt = run.done + (run.work-run.done)/faultyProgress
+	}
+	run.hangs = f.random.Float64() < on.hangShare
 	if step.Gang {
 		key := gangKey{order.Run.Task.Job, order.Run.Task.Step, order.Run.Number}
 		if f.gangs[key] == nil {
@@ -163,6 +192,9 @@
 			if run.gang != nil {
 				speed = run.gang.speed(f.remoteFactor)
 			}
+			if run.hangs {
+				speed = 0
+			}
 			run.done += speed * tick.Seconds()
 			switch {
 			case on.running[run.run] == nil:
@@ -186,6 +218,15 @@
 	if run.gang != nil {
 		members = run.gang.members
 		delete(f.gangs, run.gang.key)
+		if outcome == target.Failed || (outcome == target.Stopped && run.gang.hangs()) {
+			f.gangsBroken++
+		}
+		if outcome == target.Failed && on.failedAt > 0 && run.since > on.failedAt {
+			f.brokenAgain++
+		}
+	}
+	if outcome == target.Failed {
+		on.failedAt = now
 	}
 	wasted := 0.0
 	for _, key := range sortedKeys(members) {
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
@@ -42,8 +43,10 @@
 	byJob     map[string]*arrival
 	now       time.Duration
 	report    Report
-	// lost counts the losses that have happened.
-	lost int
+	// lost counts the losses that have happened, and begun the faults that have begun; faulty holds the targets
+	// of those that are not over.
+	lost, begun int
+	faulty      []faultyTargets
 }
 
 // Run plays the whole workload and returns what became of its jobs.
@@ -83,6 +86,7 @@
 	m.now += tick
 	m.submit()
 	m.loseTargets()
+	m.changeFaults()
 	m.report.Wasted += m.fleet.advance(m.now, tick, m.needs)
 	for _, on := range m.fleet.targets {
 		if on.lost || m.now < on.reportAt {
@@ -127,6 +131,35 @@
 	}
 }
 
+// faultyTargets are the targets of a fault.
+type faultyTargets struct {
+	targets []*modelTarget
+	until   time.Duration
+}
+
+// changeFaults begins and ends the faults that are due.
+func (m *Model) changeFaults() {
+	m.faulty = slices.DeleteFunc(m.faulty, func(f faultyTargets) bool {
+		if m.now < f.until {
+			return false
+		}
+		for _, on := range f.targets {
+			on.failShare, on.hangShare = 0, 0
+		}
+		return true
+	})
+	for ; m.begun < len(m.Workload.Faults) && m.Workload.Faults[m.begun].From <= m.now; m.begun++ {
+		fault := m.Workload.Faults[m.begun]
+		f := faultyTargets{until: fault.To}
+		for _, i := range m.fleet.random.Perm(len(m.fleet.targets))[:int(fault.Share*float64(len(m.fleet.targets)))] {
+			on := m.fleet.targets[i]
+			on.failShare, on.hangShare = fault.FailShare, fault.HangShare
+			f.targets = append(f.targets, on)
+		}
+		m.faulty = append(m.faulty, f)
+	}
+}
+
 // needs returns the cores that one task of a run takes, its accelerators included.
 func (m *Model) needs(run target.Run) float64 {
 	needs := m.byJob[run.Task.Job].job.Steps[run.Task.Step].Needs
--- a/internal/loadmodel/report.go
+++ b/internal/loadmodel/report.go
@@ -16,6 +16,9 @@
 	Worth float64
 	// Wasted is the work that was thrown away, in core-seconds; an accelerator counts as 8 cores.
 	Wasted float64
+	// GangsBroken counts the runs of gangs that ended because a member failed or hung, and BrokenAgain those of
+	// them that started on a target after a run had failed there, and broke there too.
+	GangsBroken, BrokenAgain int
 
 	begun     map[string]time.Duration
 	ended     map[string]ending
@@ -77,6 +80,7 @@
 
 // finishReport sums up the run.
 func (m *Model) finishReport() *Report {
+	m.report.GangsBroken, m.report.BrokenAgain = m.fleet.gangsBroken, m.fleet.brokenAgain
 	earnedInAll, owedInAll := 0.0, 0.0
 	for index := range m.Workload.Classes {
 		class := &m.Workload.Classes[index]
@@ -159,7 +163,7 @@
 // String returns the report as a table.
 func (r *Report) String() string {
 	out := &strings.Builder{}
-	fmt.Fprintf(out, "worth %.3f, thrown away %.0f core-seconds\n", r.Worth, r.Wasted)
+	fmt.Fprintf(out, "worth %.3f, thrown away %.0f core-seconds, %d runs of gangs broken, %d again\n", r.Worth, r.Wasted, r.GangsBroken, r.BrokenAgain)
 	for _, c := range r.Classes {
 		fmt.Fprintf(out, "%-8s jobs %4d  on time %4d  late %4d  too late %4d  failed %4d  worth %.3f  first start: half %s, 95 of 100 %s\n",
 			c.Queue, c.Jobs, c.OnTime, c.Late, c.TooLate, c.Failed, c.Worth, c.MedianWait.Round(time.Millisecond), c.LongWait.Round(time.Millisecond))
--- a/internal/loadmodel/workload.go
+++ b/internal/loadmodel/workload.go
@@ -61,6 +61,8 @@
 	Surges []Surge
 	// Losses are times at which a part of the targets is lost.
 	Losses []Loss
+	// Faults are times in which a part of the targets fails or hangs runs that start there.
+	Faults []Fault
 }
 
 // Surge multiplies the submissions of one class for some time.
@@ -76,6 +78,13 @@
 	At    time.Duration
 }
 
+// Fault lets a share of the targets fail or hang shares of the runs that start there in some time.
+type Fault struct {
+	Share                float64
+	FailShare, HangShare float64
+	From, To             time.Duration
+}
+
 const service = "service"
 
 // Mixed returns a workload of urgent gangs, large jobs and many small ones that keeps most of
