Targets that fail run after run, or hang runs, get single trials

A target that fails what it starts got a member of a gang after each pause, which broke the gang each time. The ends of runs are now weighed as evidence against the rate of failures elsewhere. After one failure a target gets no gangs and no work of priority 0 for up to 3 s; two in a row, or a stalled run, put it on probation: one single task at a time until one succeeds or the evidence is old. The pause is 2 s at most, as only one task is at risk after it. A job that fails on several targets is not held against them, and a service of which over a quarter of the targets would be restricted has no restrictions.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -274,6 +274,7 @@
 	}
 	s.reportsRequested = now
 	metrics.GetOrRegisterGauge("target.suspect", s.Metrics).Update(int64(s.plan.SuspectTargets()))
+	metrics.GetOrRegisterGauge("target.onProbation", s.Metrics).Update(int64(s.plan.TargetsOnProbation()))
 	for _, id := range s.plan.SilentTargets(now) {
 		notify(s.agent(id).renewSignal)
 	}
--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -95,6 +95,9 @@
 	expirySlack float64
 	// lateCostFactor is the cost of a late end, as pass.lateCostFactor returns it.
 	lateCostFactor float64
+	// seeksTrial says that targets on probation may be used for a trial, and ignoresRestrictions that any may be
+	// used for everything.
+	seeksTrial, ignoresRestrictions bool
 	// placed counts the units that were started in this pass.
 	placed int
 }
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -26,6 +26,7 @@
 		open := &p.capacities[i]
 		open.rack = p.rackIndex[open.Rack]
 	}
+	p.restrict()
 }
 
 // empty empties the lists of the last pass and keeps their memory.
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -21,8 +21,8 @@
 	// job's slack.
 	endUncertainty = 0.1
 	safeSlackShare = 0.9
-	// avoidPenalty multiplies the cost of the target on which the unit failed last, so that it
-	// prefers another.
+	// avoidPenalty multiplies the cost of the target on which the unit failed last, and of doubted targets,
+	// so that it prefers another.
 	avoidPenalty = 3
 	// speedStep is the ratio between the minimum speeds that are tried one after another for a
 	// gang.
@@ -33,7 +33,7 @@
 // cost more, and so do targets that would have much free capacity left. u may be nil.
 func (p *pass) costPerSecond(c *candidate, u *unit, n *freeCapacity) float64 {
 	costPerSecond := n.speedCost
-	if u != nil && u.avoidTarget == n.ID {
+	if (u != nil && u.avoidTarget == n.ID) || n.doubted {
 		costPerSecond *= avoidPenalty
 	}
 	remaining := n.free.Minus(c.step.spec.CapacityUse())
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -47,6 +47,8 @@
 	// was sent until now may have given it a whole lease.
 	n.recordLease(now, s.Limits.TaskLease)
 	former := n.Born
+	s.endProbation(now, n, "the target restarted")
+	n.probation = probation{}
 	n.Born, n.clock, n.clockAt, n.leaseEnd, n.lastEnd, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
 	for _, m := range n.sortedMembers() {
 		switch {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -25,6 +25,8 @@
 	work      float64
 	// estimate is that of the job's queue.
 	estimate *estimate
+	// failedOn holds the targets that were not on probation when runs of the job failed there.
+	failedOn map[string]bool
 }
 
 // occurrence is one run of all the job's steps.
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -24,10 +24,10 @@
 	drainingLease = 3500 * time.Millisecond
 	// refusalPause is how long a target is given no new work after it refused a start.
 	refusalPause = 300 * time.Millisecond
-	// failurePause is how long a target is given no new work after a run failed there; it
-	// doubles with each consecutive failure, up to maxFailurePause.
+	// failurePause is how long a target on probation is given no new work after a run stalled or failed
+	// there; it doubles with each consecutive failure, up to maxFailurePause.
 	failurePause    = time.Second
-	maxFailurePause = 8 * time.Second
+	maxFailurePause = 2 * time.Second
 	// orderTransit is the longest time between the sending of an order and its arrival that
 	// leases are judged by.
 	orderTransit = 700 * time.Millisecond
@@ -84,8 +84,9 @@
 	// blockedUntil is when the target may be given new work again after a refusal, a failure or
 	// a stalled run.
 	blockedUntil time.Time
-	// failures counts the consecutive runs that failed here.
-	failures int
+	// failures counts the consecutive runs that failed here, and probation holds what follows from that.
+	failures  int
+	probation probation
 	// speed is the speed that is expected at present; usualLogSpeed is the logarithm of the
 	// usual speed.
 	speed         float64
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -29,6 +29,10 @@
 	free workload.Resources
 	// rack is the index of the target's rack in pass.racks.
 	rack int
+	// restriction says which work the target gets in this pass.
+	restriction restriction
+	// doubted says that failures of a short time ago speak against the target.
+	doubted bool
 	// reserved is the step for which the target's capacity is reserved.
 	reserved *step
 	// releases holds the runs here in the order in which they are expected to end, once a step
@@ -65,6 +69,8 @@
 	// couldHold holds what rackCouldHold has found.
 	couldHold    map[unitRequirements]bool
 	reservations int
+	// restricted counts the targets with a restriction.
+	restricted int
 	// searches counts the searches for runs to stop that found none worthwhile.
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
@@ -121,12 +127,7 @@
 		if p.unplaceable[requirements] {
 			break
 		}
-		var chosen placement
-		if c.step.spec.Gang {
-			chosen = p.placeGang(c, c.step.spec.Count)
-		} else {
-			chosen = p.placeTask(c, u)
-		}
+		chosen := p.choose(c, u)
 		if chosen.openNodes == nil {
 			p.unplaceable[requirements] = true
 			p.reserve(c)
@@ -163,7 +164,7 @@
 	if n.Service != c.step.job.terms.Service || !spec.CapacityUse().Fits(n.free) || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
-	if n.reserved != nil && n.reserved != c.step {
+	if (n.reserved != nil && n.reserved != c.step) || !p.admits(c, n) {
 		return false
 	}
 	return spec.MaxPerTarget == 0 || n.count(c.step) < spec.MaxPerTarget
@@ -229,7 +230,7 @@
 	for _, rack := range p.racks {
 		total := 0
 		for _, n := range rack {
-			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) {
+			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) || !p.admits(c, n) {
 				continue
 			}
 			limit := count
@@ -259,7 +260,11 @@
 			n.perStep[c.step]++
 		}
 		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
-		p.s.log("run placed", m.fields(p.now).with(Fields{
+		placed := m.fields(p.now)
+		if n.recordTrial(m) {
+			placed["reason"] = "a trial of a target on probation"
+		}
+		p.s.log("run placed", placed.with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "value": c.value, "weight": c.weight, "guaranteed": c.guaranteed,
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
 			"expected": chosen.runSeconds,
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -149,7 +149,7 @@
 	}
 	var options []option
 	for _, n := range openNodes {
-		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
+		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
 			continue
 		}
 		free := n.free
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -215,7 +215,7 @@
 	u.avoidTarget = n.ID
 	stalled := m.progress.stalledFor()
 	if stalled > stalledAfter {
-		n.block(now.Add(failurePause))
+		s.blameStall(now, u)
 	}
 	s.log("run moved", Fields{
 		"job": u.step.job.ID, "run": m.run, "target": n.ID, "percent": m.progress.percent, "here": s.memberRemainingTime(now, m), "there": s.timeIfMoved(u),
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -114,7 +114,7 @@
 	s.log("run ended", m.fields(now).with(Fields{"how": end.Outcome.String(), "number": end.Number, "ran": now.Sub(u.startedAt)}))
 	switch end.Outcome {
 	case target.Done:
-		n.failures = 0
+		s.runSucceeded(now, m)
 		s.updateEstimate(u)
 		s.finishUnit(now, m)
 		return
@@ -190,8 +190,7 @@
 // runFailed counts the failure of a unit's current run, against the unit and against its target.
 func (s *Scheduler) runFailed(now time.Time, n *node, u *unit) {
 	u.avoidTarget = n.ID
-	n.failures++
-	n.block(now.Add(min(failurePause<<min(n.failures-1, 4), maxFailurePause)))
+	s.blameFailure(now, n, u)
 	if j := u.step.job; u.countFailure(u.run) && u.exhausted() && !ended(j.phase) {
 		s.endJob(now, j, failedPhase, exhaustedReason)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -66,6 +66,7 @@
 	hasNewObservations bool
 	lastFit            time.Time
 	load               loadState
+	failureRate        failureRate
 }
 
 // Fields describe a decision in the log.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -19,6 +19,7 @@
 		s.checkedAt = now
 		s.expire(now)
 		s.moveSlowRuns(now)
+		s.reviewProbation(now)
 		s.stopIncompleteGangs(now)
 	}
 	if slices.ContainsFunc(s.ordered, func(n *node) bool { return len(n.sorted) > 0 }) {
