--- a/internal/loadmodel/workload.go
+++ b/internal/loadmodel/workload.go
@@ -71,6 +71,8 @@
 	ColdSlack   int
 	// ShareHalfLife is the scheduler's limit of that name.
 	ShareHalfLife time.Duration
+	// Faults are times in which a part of the targets fails or hangs runs that start there.
+	Faults []Fault
 }
 
 // Surge multiplies the submissions of one class for some time.
@@ -105,6 +107,13 @@
 // returning reports whether a target is away until the return.
 func (w *Workload) returning(i int) bool { return float64(i) >= float64(w.Targets)*(1-w.Return.Share) }
 
+// Fault lets a share of the targets fail or hang shares of the runs that start there in some time.
+type Fault struct {
+	Share                float64
+	FailShare, HangShare float64
+	From, To             time.Duration
+}
+
 const service = "service"
 
 // Mixed returns a workload of urgent gangs, large jobs and many small ones that keeps most of
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -25,6 +25,7 @@
 		open := &p.capacities[i]
 		open.rack = p.rackIndex[open.Rack]
 	}
+	p.restrict()
 }
 
 // addEligible adds the targets that may be given new work. Those that pause after failures are left out unless
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -48,6 +48,8 @@
 	n.recordLease(now, s.Limits.TaskLease)
 	delete(s.handover.inherited, n.ID)
 	former := n.Born
+	s.endProbation(now, n, "the target restarted")
+	n.probation = probation{}
 	n.Born, n.clock, n.clockAt, n.leaseEnd, n.lastEnd, n.contacted, n.failures = born, 0, time.Time{}, 0, 0, false, 0
 	n.restartCold(now)
 	for _, m := range n.sortedMembers() {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -27,6 +27,8 @@
 	estimate *estimate
 	// cordonLogged is when it was last logged that the job waits for a cordoned zone.
 	cordonLogged time.Time
+	// failedOn holds the targets that were not on probation when runs of the job failed there.
+	failedOn map[string]bool
 }
 
 // occurrence is one run of all the job's steps.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -30,6 +30,10 @@
 	cold coldLimit
 	// rack is the index of the target's rack in pass.racks.
 	rack int
+	// restriction says which work the target gets in this pass.
+	restriction restriction
+	// doubted says that failures of a short time ago speak against the target.
+	doubted bool
 	// reserved is the step for which the target's capacity is reserved.
 	reserved *step
 	// releases holds the runs here in the order in which they are expected to end, once a step
@@ -68,6 +72,8 @@
 	// couldHold holds what rackCouldHold has found.
 	couldHold    map[unitRequirements]bool
 	reservations int
+	// restricted counts the targets with a restriction.
+	restricted int
 	// searches counts the searches for runs to stop that found none worthwhile.
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
@@ -131,12 +137,7 @@
 			p.logCordonWait(c, requirements)
 			break
 		}
-		var chosen placement
-		if c.step.spec.Gang {
-			chosen = p.placeGang(c, c.step.spec.Count)
-		} else {
-			chosen = p.placeTask(c, u)
-		}
+		chosen := p.choose(c, u)
 		if chosen.openNodes == nil {
 			p.unplaceable[requirements], p.s.shares.short = true, true
 			p.logCordonWait(c, requirements)
@@ -175,7 +176,7 @@
 	if n.Service != c.step.job.terms.Service || n.countFitting(spec.CapacityUse(), n.free, 1) == 0 || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
-	if n.reserved != nil && n.reserved != c.step {
+	if (n.reserved != nil && n.reserved != c.step) || !p.admits(c, n) {
 		return false
 	}
 	return spec.MaxPerTarget == 0 || n.count(c.step) < spec.MaxPerTarget
@@ -241,7 +242,7 @@
 	for _, rack := range p.racks {
 		total := 0
 		for _, n := range rack {
-			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) {
+			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) || !p.admits(c, n) {
 				continue
 			}
 			limit := count
@@ -271,11 +272,14 @@
 			n.perStep[c.step]++
 		}
 		p.s.starts = append(p.s.starts, Start{Run: m.run, Target: n.ID})
-		fields := m.fields(p.now)
+		placed := m.fields(p.now)
 		if n.cold.left > 0 {
-			fields["coldRemaining"] = n.cold.left
+			placed["coldRemaining"] = n.cold.left
+		}
+		if n.recordTrial(m) {
+			placed["reason"] = "a trial of a target on probation"
 		}
-		p.s.log("run placed", fields.with(Fields{
+		p.s.log("run placed", placed.with(Fields{
 			"rack": n.Rack, "queue": j.Queue, "score": c.score, "value": c.value, "weight": c.weight, "guaranteed": c.guaranteed,
 			"organisation": j.Organisation, "shareFactor": p.s.shareFactor(j),
 			"waited": p.now.Sub(c.step.occurrence.due), "objective": j.objective, "speed": n.speed, "slack": c.slack,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -71,6 +71,7 @@
 	lastFit            time.Time
 	load               loadState
 	coldPace           coldPace
+	failureRate        failureRate
 }
 
 // Fields describe a decision in the log.
