Report limits on clients that cannot work

Values of 0 or below in the table ingress counted as left out or were put in force as a time limit of 0. The settings of front and serve are checked: the fields are optional in the schema, so that a written 0 counts, and too few connections, too little body memory (for serve also one that reaches the memory limit), and rates and times that are not above 0 are reported with line and remedy.

--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -19,12 +19,14 @@
 	smallBytes            = 16 << 10
 	defaultMemoryMB       = 144
 	defaultDescriptors    = 1024
-	minConnections        = 8
 	defaultBytesPerSecond = 16 << 10
 	defaultBodyGrace      = 5 * time.Second
 	defaultWriteTimeout   = 5 * time.Second
 )
 
+// MinConnections is the least limit of connections that can be set.
+const MinConnections = 8
+
 // Limits are the limits of one listener.
 type Limits struct {
 	MaxConnections int
@@ -46,7 +48,7 @@
 		descriptors = defaultDescriptors
 	}
 	limits := Limits{
-		MaxConnections: max(minConnections, min(int(memoryMB)*connectionsPerMB, descriptors/descriptorsPerConnection)),
+		MaxConnections: max(MinConnections, min(int(memoryMB)*connectionsPerMB, descriptors/descriptorsPerConnection)),
 		BodyMemory:     int64(float64(memoryMB<<20) * bodyMemoryShare),
 		BytesPerSecond: defaultBytesPerSecond, BodyGrace: defaultBodyGrace, WriteTimeout: defaultWriteTimeout,
 	}
@@ -70,7 +72,7 @@
 
 // Share returns the limits of a listener that has a share of the connections and of the memory.
 func (l Limits) Share(share float64) Limits {
-	l.MaxConnections = max(minConnections, int(float64(l.MaxConnections)*share))
+	l.MaxConnections = max(MinConnections, int(float64(l.MaxConnections)*share))
 	l.BodyMemory = int64(float64(l.BodyMemory) * share)
 	return l
 }
--- a/internal/settings/front.go
+++ b/internal/settings/front.go
@@ -69,6 +69,7 @@
 		f.decoder.Report("policy."+problem.Key, problem.Remedy, "%s", problem.Text)
 	}
 	f.validateAdmission()
+	reportIngress(&f.decoder, f.Ingress)
 	return decoder.Err(f.decoder.Problems)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,10 @@
 	if s.LogLevel != "debug" && s.LogLevel != "info" && s.LogLevel != "warn" && s.LogLevel != "error" {
 		s.decoder.Report("logLevel", "use debug, info, warn or error", "%q is not a log level", s.LogLevel)
 	}
+	reportIngress(&s.decoder, s.Ingress)
+	if memory := s.GetIngress().GetBodyMemoryMb(); s.MemoryLimitMb > 0 && memory >= s.MemoryLimitMb {
+		s.decoder.Report("ingress.bodyMemoryMb", "use a part of memoryLimitMb, such as a quarter", "%d is not below memoryLimitMb, %d", memory, s.MemoryLimitMb)
+	}
 	return decoder.Err(s.decoder.Problems)
 }
 
