Bound the payloads of unfinished requests of serve

The dispatcher kept the payload of a request whose caller had turned to polling, up to the queue's limit times 1 MB, and that of an ended one as long as its ticket. Payloads are counted from the admission of a request until it has ended and its last dispatch has returned, in a budget of the size of the body memory, and dropped then.

A request with a key that was refused after its key had been bound, here or by a rule's limit, could not be repeated: the key led to a ticket that no host knew. The ticket is recorded as not run.

A body that is longer than allowed prepares its Ingress before it is refused, as the log line reads the budget.

TestPayloadsOfWaitingRequestsAreBounded was seen to fail without the bound, without the release, and without the record. go test -race ./... passes, with test/crowd.

--- a/internal/dispatcher/acceptance.go
+++ b/internal/dispatcher/acceptance.go
@@ -22,11 +22,11 @@
 		d.mu.Unlock()
 		return w.ticket, nil
 	}
-	d.mu.Unlock()
 	if w.class.GetKind() == wire.Kind_trace {
-		return w.ticket, d.journalAcceptance(ctx, w)
+		record := w.acceptance()
+		d.mu.Unlock()
+		return w.ticket, d.journalAcceptance(ctx, w, record)
 	}
-	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.enqueue(w)
 	d.dispatchQueued()
@@ -35,11 +35,11 @@
 
 // journalAcceptance makes the acceptance durable, so that another host runs the request if this
 // one dies. While it is not known whether the record is durable, the request is pending.
-func (d *Dispatcher) journalAcceptance(ctx context.Context, w *work) outcome.Outcome {
+func (d *Dispatcher) journalAcceptance(ctx context.Context, w *work, record *wire.JournalRecord) outcome.Outcome {
 	if w.journal.Stalled() || !d.Store.Writable() {
 		return d.acceptanceNotDurable(w, errkind.Unavailable.New("wait for the store", "Dispatcher.journalAcceptance: the store accepts no writes"))
 	}
-	durable := w.journal.Enqueue(w.acceptance())
+	durable := w.journal.Enqueue(record)
 	timer := time.NewTimer(journal.AppendTimeout)
 	defer timer.Stop()
 	select {
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -82,7 +82,7 @@
 func (d *Dispatcher) runRequest(w *work) *wire.RunRequest {
 	return &wire.RunRequest{
 		Id: w.ticket, Organisation: w.req.GetOrganisation(), Class: w.req.GetClass(),
-		Payload: w.req.GetPayload(), Declared: durationpb.New(w.req.GetDeclared().AsDuration()),
+		Payload: w.payload, Declared: durationpb.New(w.req.GetDeclared().AsDuration()),
 	}
 }
 
@@ -94,6 +94,8 @@
 	defer d.mu.Unlock()
 	d.hostDispatches--
 	w.activeDispatches--
+	// The payload is in use until the last dispatch has returned.
+	defer dropPayload(w)
 	now := time.Now()
 	if notDispatched {
 		d.Router.CancelPick(listing.Name)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/admission"
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress/budget"
 	"github.com/eelgrasstide/eelgrasstide/internal/journal"
 	"github.com/eelgrasstide/eelgrasstide/internal/retry"
 	"github.com/eelgrasstide/eelgrasstide/internal/router"
@@ -61,6 +62,9 @@
 	Router *router.Router
 	Queue  *admission.Queue
 	Budget *retry.Budget
+	// Payloads, if set, bounds the memory of the payloads of unfinished requests. Those adopted from another
+	// host are never refused for it.
+	Payloads *budget.Budget
 	// Capacity is the largest number of this host's dispatches in progress.
 	Capacity int
 	// Locate returns the outcome of a ticket of any host, or nil if it is not known.
@@ -165,7 +169,7 @@
 	if w.class.GetIdempotent() || req.GetKey() == "" {
 		return d.accept(ctx, w)
 	}
-	return d.submitKeyed(ctx, w)
+	return d.submitKeyed(ctx, w, req)
 }
 
 // newWork checks the request against the rules in force. A non-nil outcome is the refusal.
@@ -190,7 +194,7 @@
 	}
 	now := time.Now()
 	return &work{
-		ticket: req.GetTicket(), req: req, class: class, weight: inForce.Organisations[req.GetOrganisation()].GetWeight(),
+		ticket: req.GetTicket(), req: withoutPayload(req), payload: req.GetPayload(), class: class, weight: inForce.Organisations[req.GetOrganisation()].GetWeight(),
 		accepted: now, deadline: now.Add(timeLimit), journal: d.Journal, excluded: map[string]bool{}, done: make(chan struct{}),
 	}, nil
 }
@@ -214,7 +218,7 @@
 }
 
 // limit counts the work as in flight, or refuses it if this host is stopping, the rule's limit is
-// reached, or no runner takes it because the zone is cordoned. A trace may wait for the end of that. The lock is held.
+// reached, there is no memory for its payload, or no runner takes it because the zone is cordoned. A trace may wait for the end of that. The lock is held.
 func (d *Dispatcher) limit(w *work) outcome.Outcome {
 	if d.draining {
 		return outcome.NotRun{Reason: "this host is stopping", Remedy: "send the request to another host", RetryAfter: dispatchInterval}
@@ -227,6 +231,9 @@
 	if limit := int(rule.GetMaxInFlight()); limit > 0 && d.inFlight[pair] >= limit {
 		return outcome.NotRun{Reason: fmt.Sprintf("the rule's limit of %d requests in flight is reached", limit), Remedy: "wait for earlier requests to end, or ask an operator for a higher limit", RetryAfter: dispatchInterval}
 	}
+	if !d.reservePayload(w) {
+		return outcome.NotRun{Reason: "there is no memory for the payload while earlier requests wait", Remedy: "try again later, or send the request to another host", RetryAfter: time.Second}
+	}
 	d.inFlight[pair]++
 	d.unfinishedCount++
 	return nil
--- a/internal/dispatcher/ending.go
+++ b/internal/dispatcher/ending.go
@@ -78,6 +78,7 @@
 	}
 	d.recordMetrics(w)
 	d.retain(w)
+	dropPayload(w)
 }
 
 func (d *Dispatcher) recordMetrics(w *work) {
--- a/internal/dispatcher/key.go
+++ b/internal/dispatcher/key.go
@@ -24,24 +24,28 @@
 
 // submitKeyed binds the caller's key to one ticket in the store, so that a repeated request on
 // any host finds the first one. While the store is unavailable nothing is dispatched.
-func (d *Dispatcher) submitKeyed(ctx context.Context, w *work) (string, outcome.Outcome) {
+func (d *Dispatcher) submitKeyed(ctx context.Context, w *work, req *wire.WorkRequest) (string, outcome.Outcome) {
 	if !d.Store.Writable() {
 		return w.ticket, storeUnavailable()
 	}
 	if w.ticket == "" {
 		w.ticket = d.Ticket()
 	}
-	ticket, claimed, refused := d.ClaimKey(ctx, w.ticket, w.req)
+	ticket, claimed, refused := d.ClaimKey(ctx, w.ticket, req)
 	switch {
 	case refused != nil:
 		if ticket == w.ticket {
-			d.recordNotRun(w)
+			d.recordNotRun(w, outcome.NotRun{Reason: "the platform's store was unavailable", Remedy: "send the request again"})
 		}
 		return ticket, refused
 	case !claimed:
 		return ticket, nil
 	}
-	return d.accept(ctx, w)
+	ticket, out := d.accept(ctx, w)
+	if notRun, ok := out.(outcome.NotRun); ok {
+		d.recordNotRun(w, notRun)
+	}
+	return ticket, out
 }
 
 // ClaimKey binds the request's key to a ticket. It returns the ticket that holds the key and
@@ -110,13 +114,17 @@
 }
 
 // recordNotRun records that a ticket did not run. Its key may be in the store, and a repeated
-// request with that key looks up this ticket.
-func (d *Dispatcher) recordNotRun(w *work) {
+// request with that key looks up this ticket. A registered request has its outcome already.
+func (d *Dispatcher) recordNotRun(w *work, out outcome.NotRun) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, ok := d.requests[w.ticket]; ok {
+		return
+	}
 	delete(d.issued, w.ticket)
-	w.out, w.ended = outcome.NotRun{Reason: "the platform's store was unavailable", Remedy: "send the request again"}, time.Now()
+	w.out, w.ended = out, time.Now()
 	close(w.done)
 	d.requests[w.ticket] = w
 	d.retain(w)
+	dropPayload(w)
 }
--- a/internal/dispatcher/lookup.go
+++ b/internal/dispatcher/lookup.go
@@ -138,9 +138,11 @@
 	w := &work{
 		ticket: accepted.GetId(), class: class, journal: from, journalled: true, adopted: true, weight: 1,
 		acceptanceDurable: accepted.GetKind() == wire.RecordKind_RECORD_KIND_ACCEPTED,
-		req:               &wire.WorkRequest{Organisation: accepted.GetOrganisation(), Class: accepted.GetClass(), Payload: accepted.GetPayload(), Declared: accepted.GetDeclared()},
+		req:               &wire.WorkRequest{Organisation: accepted.GetOrganisation(), Class: accepted.GetClass(), Declared: accepted.GetDeclared()},
+		payload:           accepted.GetPayload(),
 		accepted:          time.Now(), deadline: accepted.GetDeadline().AsTime(), excluded: map[string]bool{}, done: make(chan struct{}),
 	}
+	d.reservePayload(w)
 	d.requests[w.ticket] = w
 	d.inFlight[[2]string{accepted.GetOrganisation(), accepted.GetClass()}]++
 	d.unfinishedCount++
--- a/internal/dispatcher/work.go
+++ b/internal/dispatcher/work.go
@@ -15,14 +15,17 @@
 // work is one request, from acceptance until its outcome is dropped. The dispatcher's lock
 // guards it.
 type work struct {
-	ticket    string
-	req       *wire.WorkRequest
-	class     *wire.Class
-	weight    float64
-	accepted  time.Time
-	deadline  time.Time
-	journal   *journal.Journal
-	queueItem *admission.Item
+	ticket string
+	// req is the request without its payload, which is dropped when the request has ended.
+	req            *wire.WorkRequest
+	payload        []byte
+	releasePayload func()
+	class          *wire.Class
+	weight         float64
+	accepted       time.Time
+	deadline       time.Time
+	journal        *journal.Journal
+	queueItem      *admission.Item
 	// excluded holds the runners that this request should not be sent to again.
 	excluded         map[string]bool
 	attempts         int
@@ -63,10 +66,10 @@
 	}
 }
 
-// acceptance returns a record with all that another host needs to run the request.
+// acceptance returns a record with all that another host needs to run the request. The lock is held.
 func (w *work) acceptance() *wire.JournalRecord {
 	record := w.record(wire.RecordKind_RECORD_KIND_ACCEPTED)
-	record.Payload, record.Deadline, record.Declared = w.req.GetPayload(), timestamppb.New(w.deadline), w.req.GetDeclared()
+	record.Payload, record.Deadline, record.Declared = w.payload, timestamppb.New(w.deadline), w.req.GetDeclared()
 	record.AcceptedClass = w.class
 	return record
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -214,7 +214,7 @@
 	return &dispatcher.Dispatcher{
 		Incarnation: h.incarnation, Journal: h.journal, Store: h.store, Rules: h.configuration.Current,
 		Runner: h.runner, Budget: &retry.Budget{}, Capacity: int(hostSettings.GetCapacity()), Metrics: h.registry,
-		Queue: &admission.Queue{Limit: int(hostSettings.GetQueueLimit())},
+		Queue: &admission.Queue{Limit: int(hostSettings.GetQueueLimit())}, Payloads: h.ingress.Limits.NewBudget(),
 		Router: &router.Router{
 			Self: h.incarnation, HostsPerRunner: max(1, RunnerConnections/perRunner), MaxPerRunner: min(perRunner, runnerSlots),
 			Random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -47,7 +47,7 @@
 
 	prepared    sync.Once
 	connections connections.Connections
-	bodies      budget.Budget
+	bodies      *budget.Budget
 	// logged bounds the log lines.
 	logged rate.Sometimes
 }
@@ -56,8 +56,7 @@
 
 func (i *Ingress) prepare() {
 	i.prepared.Do(func() {
-		small := int64(float64(i.Limits.BodyMemory) * smallShare)
-		i.bodies.SmallBytes, i.bodies.Small, i.bodies.Large = smallBytes, small, i.Limits.BodyMemory-small
+		i.bodies = i.Limits.NewBudget()
 		i.connections.Max, i.connections.WriteTimeout, i.connections.BytesPerSecond = i.Limits.MaxConnections, i.Limits.WriteTimeout, i.Limits.BytesPerSecond
 		i.connections.Closed = func(state string) { i.count("closed."+state, "") }
 		i.logged.Interval = logInterval
@@ -141,6 +140,7 @@
 // Unavailable if there is no memory for the body or it does not arrive in time; the connection is then
 // closed after the response.
 func (i *Ingress) ReadBody(w http.ResponseWriter, r *http.Request, limit int64, holders ...string) (body []byte, release func(), err error) {
+	i.prepare()
 	if r.ContentLength > limit {
 		i.refuse(w, r, "bodySize")
 		return nil, nil, &http.MaxBytesError{Limit: limit}
@@ -148,7 +148,6 @@
 	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
 		holders = append(holders, "address:"+address.Addr().String())
 	}
-	i.prepare()
 	reader := &bodyReader{ingress: i, w: w, r: r, limit: limit, holders: holders}
 	if err := reader.reserve(); err != nil {
 		return nil, nil, err
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/ingress/budget"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -70,6 +71,12 @@
 	return limits
 }
 
+// NewBudget returns a budget of the memory for bodies, with a part that is kept for small ones.
+func (l Limits) NewBudget() *budget.Budget {
+	small := int64(float64(l.BodyMemory) * smallShare)
+	return &budget.Budget{SmallBytes: smallBytes, Small: small, Large: l.BodyMemory - small}
+}
+
 // Share returns the limits of a listener that has a share of the connections and of the memory.
 func (l Limits) Share(share float64) Limits {
 	l.MaxConnections = max(MinConnections, int(float64(l.MaxConnections)*share))
