Mend what a review of the scheduler found

Cause: a start that is never answered was repeated for ever; a gang held its capacity while another member's start was held back; pauses after failures ended only where no target of any service was left; a job that would be late waited for expected ends without a bound; shares changed the price of capacity. Change: units with an overdue start are stopped; pauses are judged by service; such waits count as waits; the price leaves shares out.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,7 +48,7 @@
 // Entry is a host that serves batch queues. Set the exported fields before Run.
 type Entry struct {
 	Settings Settings
-	// Own holds the product's own settings; nil switches off what they configure.
+	// Own holds the product's own settings; nil stands for their defaults.
 	Own     *settings.Front
 	Store   keyvalue.Service
 	Targets target.Targets
--- a/internal/scheduler/await_test.go
+++ b/internal/scheduler/await_test.go
@@ -43,3 +43,22 @@
 		}
 	}
 }
+
+// Guards against: a job that is late already waits for expected ends for more than maxEndWait in all.
+func TestLateJobWaitsForEndsNoLongerThanOthers(t *testing.T) {
+	f := newFixture(t, 1)
+	f.Limits.StopTime = 200 * time.Millisecond
+	f.submit("running", "batch", smallStep(8))
+	f.startAll()
+	f.advance(4 * time.Second)
+	step := workload.Step{Count: 1, Estimate: time.Second, Needs: workload.Resources{MilliCores: 1000, Accelerators: 2}}
+	f.Submit(f.now, &workload.Job{ID: "urgent", Queue: "urgent", Organisation: "without guarantee", Accepted: f.now.Add(-1300 * time.Millisecond), Steps: []workload.Step{step}})
+	stops := 0
+	for range 50 {
+		stops += len(f.Step(f.now).Stops)
+		f.advance(100 * time.Millisecond)
+	}
+	if stops == 0 {
+		t.Error("have no run stopped after 5 s, want some after 1 s")
+	}
+}
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -17,10 +17,8 @@
 	if cap(p.capacities) < len(s.ordered) {
 		p.capacities = make([]freeCapacity, 0, len(s.ordered))
 	}
-	p.addEligible(false)
-	if len(p.openNodes) == 0 {
-		p.addEligible(true)
-	}
+	p.addEligible()
+	p.addPaused()
 	for i := range p.capacities {
 		open := &p.capacities[i]
 		open.rack = p.rackIndex[open.Rack]
@@ -28,18 +26,32 @@
 	p.restrict()
 }
 
-// addEligible adds the targets that may be given new work. Those that pause after failures are left out unless
-// that would leave none: a pause only helps where others can take the work.
-func (p *pass) addEligible(ignorePauses bool) {
+// addEligible adds the targets that may be given new work.
+func (p *pass) addEligible() {
+	for _, n := range p.s.ordered {
+		if p.isEligible(n, false) {
+			p.open(n)
+		}
+	}
+}
+
+// addPaused adds the targets that pause after failures if their service has no others: a pause only helps where
+// others can take the work.
+func (p *pass) addPaused() {
 	for _, n := range p.s.ordered {
-		if !p.isEligible(n, ignorePauses) {
-			continue
+		if total := p.usage[n.Service]; (total == nil || total.paused) && p.isEligible(n, true) {
+			p.open(n)
+			p.usage[n.Service].paused = true
 		}
-		p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used), cold: p.coldLimit(n)})
-		p.add(&p.capacities[len(p.capacities)-1])
 	}
 }
 
+// open adds a target with its free capacity.
+func (p *pass) open(n *node) {
+	p.capacities = append(p.capacities, freeCapacity{node: n, free: n.Capacity.Minus(n.used), cold: p.coldLimit(n)})
+	p.add(&p.capacities[len(p.capacities)-1])
+}
+
 // empty empties the lists of the last pass and keeps their memory.
 func (p *pass) empty() {
 	if p.unplaceable == nil {
@@ -78,6 +90,8 @@
 type usage struct {
 	used, whole workload.Resources
 	targets     int
+	// paused says that these targets pause after failures.
+	paused bool
 }
 
 // candidateNodes returns the targets that had enough free accelerators for a task of the step at the
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -69,39 +70,53 @@
 	return max(0, period-now.Sub(n.lastContact)), true
 }
 
-// stopIncompleteGangs stops the gangs of which a member's start stays unanswered: the members that have
-// started hold their room and do nothing. Such a gang starts again once it is certain that none of its
-// members can run.
-func (s *Scheduler) stopIncompleteGangs(now time.Time) {
+// stopUnstartedUnits stops the units of which a start stays unanswered, and the gangs of which one is held back
+// while others have started: they hold capacity and do nothing. Such a unit starts again once it is certain that
+// none of its members can run.
+func (s *Scheduler) stopUnstartedUnits(now time.Time) {
 	var missing []*member
 	for _, n := range s.ordered {
 		for _, m := range n.sorted {
-			if m.keepsGangWaiting(now) {
+			if m.startOverdue(now) || m.isHeldBack(now) {
 				missing = append(missing, m)
 			}
 		}
 	}
 	for _, m := range missing {
 		// Another member may have stopped the gang.
-		if !m.stopDecided.IsZero() {
+		if !m.stopDecided.IsZero() || len(m.unit.members) == 0 {
 			continue
 		}
-		reason := "a member's start is unanswered"
-		if m.node.suspect {
+		reason := "a start is unanswered"
+		switch {
+		case m.state == memberAwaitingWrite:
+			reason = "a member's start is held back"
+		case m.node.suspect:
 			reason = "a member's target is suspect"
 		}
-		s.log("gang incomplete", m.fields(now).with(Fields{"reason": reason, "unanswered": now.Sub(m.unansweredSince), "members": len(m.unit.members)}))
+		fields := Fields{"reason": reason, "members": len(m.unit.members)}
+		if m.startUnanswered {
+			fields["unanswered"] = now.Sub(m.unansweredSince)
+		}
+		s.log("unit incomplete", m.fields(now).with(fields))
 		m.unit.avoidTarget = m.node.ID
 		s.stopUnit(now, m.unit, reason)
 	}
 }
 
-// keepsGangWaiting reports whether the member's start has been unanswered for so long that its gang is
-// stopped.
-func (m *member) keepsGangWaiting(now time.Time) bool {
-	if m.state != memberStartSent || !m.startUnanswered || !m.stopDecided.IsZero() || !m.unit.step.spec.Gang {
+// startOverdue reports whether the member's start has been unanswered for so long that its unit is stopped.
+func (m *member) startOverdue(now time.Time) bool {
+	if m.state != memberStartSent || !m.startUnanswered || !m.stopDecided.IsZero() {
 		return false
 	}
 	waited := now.Sub(m.unansweredSince)
-	return waited >= maxStartWait || (m.node.suspect && waited >= suspectStartWait)
+	return waited >= maxStartWait || (m.unit.step.spec.Gang && m.node.suspect && waited >= suspectStartWait)
+}
+
+// isHeldBack reports whether the member's start has not been sent although another member of its gang has been
+// running for maxStartWait.
+func (m *member) isHeldBack(now time.Time) bool {
+	return m.state == memberAwaitingWrite && slices.ContainsFunc(m.unit.members, func(other *member) bool {
+		return other.state == memberConfirmed && now.Sub(other.confirmed) >= maxStartWait
+	})
 }
--- a/internal/scheduler/health_test.go
+++ b/internal/scheduler/health_test.go
@@ -179,3 +179,39 @@
 		t.Errorf("have stops %v and starts %v, want the next run", plan.Stops, plan.Starts)
 	}
 }
+
+// Guards against: the started members of a gang hold their room while another member's start is held back.
+func TestGangOfWhichAStartIsHeldBackIsStopped(t *testing.T) {
+	f := newFixture(t, 3)
+	f.submit("a", "batch", workload.Step{Count: 2, Gang: true, Estimate: time.Second, Needs: workload.Resources{Accelerators: 8}})
+	starts := f.Step(f.now).Starts
+	f.StartSent(starts[0])
+	f.StartAnswered(f.now, starts[0], target.Reply{Answer: target.Accepted})
+	stops := 0
+	for range 50 {
+		stops += len(f.Step(f.now).Stops)
+		f.advance(100 * time.Millisecond)
+	}
+	if stops == 0 {
+		t.Error("have no member stopped 5 s after one of two was started, want one")
+	}
+}
+
+// Guards against: a task is never run again because the target that it was placed on answers renewals but no start.
+func TestTaskWhoseStartIsNeverAnsweredStartsElsewhere(t *testing.T) {
+	f := newFixture(t, 2)
+	first := f.startFirst(target.Unanswered)
+	stops := 0
+	for range 60 {
+		f.advance(500 * time.Millisecond)
+		f.report(0, target.Report{})
+		f.report(1, target.Report{})
+		stops += len(f.Step(f.now).Stops)
+		if f.StartSent(first) {
+			f.StartAnswered(f.now, first, target.Reply{Answer: target.Unanswered})
+		}
+	}
+	if stops == 0 {
+		t.Error("have no stop of a start that was not answered for 30 s, want one")
+	}
+}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -132,6 +132,10 @@
 }
 
 func (p *pass) applyPreemption(c *candidate, found *preemption) {
+	if len(found.victims) == 0 {
+		p.waitFor(c, found)
+		return
+	}
 	for _, n := range found.openNodes {
 		n.reserved = c.step
 	}
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -20,7 +20,7 @@
 		s.expire(now)
 		s.moveSlowRuns(now)
 		s.reviewProbation(now)
-		s.stopIncompleteGangs(now)
+		s.stopUnstartedUnits(now)
 		s.countServices()
 	}
 	s.chargeShares(now)
--- a/internal/scheduler/value.go
+++ b/internal/scheduler/value.go
@@ -50,7 +50,8 @@
 	return b.value / b.work
 }
 
-// measureBacklogs records what the candidates of a pass still wait for at its end.
+// measureBacklogs records what the candidates of a pass still wait for at its end. Whose work it is does not
+// change its value.
 func (p *pass) measureBacklogs(candidates []*candidate) {
 	clear(p.s.backlogs)
 	waiting := map[string]float64{}
@@ -67,7 +68,7 @@
 			continue
 		}
 		b := p.s.backlogs[service]
-		b.value, b.work = b.value+c.score*work, b.work+work
+		b.value, b.work = b.value+c.score/p.s.shareFactor(c.step.job)*work, b.work+work
 		p.s.backlogs[service] = b
 	}
 	for service, work := range waiting {
