Room is kept free for a stream of urgent work

Bulk and normal tasks refilled each free target at once, so that each urgent gang that needs whole targets had runs stopped on each of them. The demand of priority 0 is learned over the last seconds; lower priorities leave free capacity for a second of it alone, at most a tenth of the service, on the targets with the most free capacity, so that these become whole. Nothing is kept while half of the service is free or no such work arrives. A step of which nothing runs takes that room after 5 s.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -95,6 +95,8 @@
 	expirySlack float64
 	// lateCostFactor is the cost of a late end, as pass.lateCostFactor returns it.
 	lateCostFactor float64
+	// usesHeadroom says that the job may use what is kept for priority 0.
+	usesHeadroom bool
 	// placed counts the units that were started in this pass.
 	placed int
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -55,6 +55,8 @@
 	estimateUpdated bool
 	// preemptFasterAt is when runs on faster targets were first stopped for the step.
 	preemptFasterAt time.Time
+	// demandRecorded says that the step is part of what priority 0 has asked for.
+	demandRecorded bool
 	// waitsSince is when the step first waited for runs to end instead of having runs stopped.
 	waitsSince time.Time
 	// searchAgainAt is when runs to stop for the step are next searched for.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -31,6 +31,8 @@
 	rack int
 	// reserved is the step for which the target's capacity is reserved.
 	reserved *step
+	// kept says that the free capacity is kept for work of priority 0.
+	kept bool
 	// releases holds the runs here in the order in which they are expected to end, once a step
 	// has needed them; victims holds the units that may be stopped for a job of priority 0.
 	releases []release
@@ -60,6 +62,8 @@
 	rackFree []workload.Resources
 	// usage holds the capacity of each service and how much of it is used.
 	usage map[string]*usage
+	// byFree holds targets in the order of their free capacity.
+	byFree []*freeCapacity
 	// bySpeed and byCost hold the options for the gang that is being placed.
 	bySpeed, byCost []memberOption
 	// couldHold holds what rackCouldHold has found.
@@ -82,6 +86,8 @@
 	sameRack bool
 	label    string
 	dataRack string
+	// usesHeadroom says that the unit may use what is kept for priority 0.
+	usesHeadroom bool
 }
 
 // place starts the units for which there is free capacity, in the order of the candidates.
@@ -93,6 +99,8 @@
 	}
 	p := &s.pass
 	p.begin(s, now)
+	s.recordUrgentDemand(now, candidates)
+	p.keepHeadroom()
 	for _, c := range candidates {
 		p.startUnits(c)
 	}
@@ -115,6 +123,7 @@
 // startUnits starts the units of a candidate for which there is free capacity. For the first
 // one that does not fit it tries to reserve capacity, and skips the rest.
 func (p *pass) startUnits(c *candidate) {
+	c.usesHeadroom = p.usesHeadroom(c)
 	requirements := c.requirements()
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
@@ -149,6 +158,7 @@
 	if spec.Gang {
 		requirements.count = spec.Count
 	}
+	requirements.usesHeadroom = c.usesHeadroom
 	if spec.MaxPerTarget > 0 {
 		// The limit depends on where the step's other tasks run, so the result holds for this
 		// job only.
@@ -163,7 +173,7 @@
 	if n.Service != c.step.job.terms.Service || !spec.CapacityUse().Fits(n.free) || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
-	if n.reserved != nil && n.reserved != c.step {
+	if (n.reserved != nil && n.reserved != c.step) || (n.kept && !c.usesHeadroom) {
 		return false
 	}
 	return spec.MaxPerTarget == 0 || n.count(c.step) < spec.MaxPerTarget
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -51,7 +51,7 @@
 	}
 	var options []option
 	for _, n := range openNodes {
-		if n.reserved != nil || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
+		if n.reserved != nil || (n.kept && !c.usesHeadroom) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) {
 			continue
 		}
 		at, ok := p.capacityAt(c.step.spec, n)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 	estimates map[string]*estimate
 	// backlogs holds, by service, what waited at the end of the last pass.
 	backlogs map[string]backlog
+	// urgentDemands holds, by service, what work of priority 0 has asked for lately.
+	urgentDemands map[string]urgentDemand
 	// open holds the jobs that have not ended, and ordered the targets by ID.
 	open    map[string]*job
 	ordered []*node
@@ -136,7 +138,7 @@
 	if s.jobs == nil {
 		s.jobs, s.nodes, s.estimates = map[string]*job{}, map[string]*node{}, map[string]*estimate{}
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
-		s.backlogs = map[string]backlog{}
+		s.backlogs, s.urgentDemands = map[string]backlog{}, map[string]urgentDemand{}
 		s.Limits.Policy.Defaults()
 		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
 	}
