--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -98,6 +98,8 @@
 	// seeksTrial says that targets on probation may be used for a trial, and ignoresRestrictions that any may be
 	// used for everything.
 	seeksTrial, ignoresRestrictions bool
+	// usesHeadroom says that the job may use what is kept for priority 0.
+	usesHeadroom bool
 	// placed counts the units that were started in this pass.
 	placed int
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -36,6 +36,8 @@
 	doubted bool
 	// reserved is the step for which the target's capacity is reserved.
 	reserved *step
+	// kept says that the free capacity is kept for work of priority 0.
+	kept bool
 	// releases holds the runs here in the order in which they are expected to end, once a step
 	// has needed them; victims holds the units that may be stopped for a job of priority 0.
 	releases []release
@@ -67,6 +69,8 @@
 	usage map[string]*usage
 	// warmTasks sums up the tasks on the warm targets of each service.
 	warmTasks map[string]weightedSum
+	// byFree holds targets in the order of their free capacity.
+	byFree []*freeCapacity
 	// bySpeed and byCost hold the options for the gang that is being placed.
 	bySpeed, byCost []memberOption
 	// couldHold holds what rackCouldHold has found.
@@ -91,6 +95,8 @@
 	sameRack bool
 	label    string
 	dataRack string
+	// usesHeadroom says that the unit may use what is kept for priority 0.
+	usesHeadroom bool
 }
 
 // place starts the units for which there is free capacity, in the order of the candidates.
@@ -103,6 +109,8 @@
 	}
 	p := &s.pass
 	p.begin(s, now)
+	s.recordUrgentDemand(now, candidates)
+	p.keepHeadroom()
 	for _, c := range candidates {
 		p.startUnits(c)
 	}
@@ -129,6 +137,7 @@
 // startUnits starts the units of a candidate for which there is free capacity. For the first
 // one that does not fit it tries to reserve capacity, and skips the rest.
 func (p *pass) startUnits(c *candidate) {
+	c.usesHeadroom = p.usesHeadroom(c)
 	requirements := c.requirements()
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
@@ -162,6 +171,7 @@
 	if spec.Gang {
 		requirements.count = spec.Count
 	}
+	requirements.usesHeadroom = c.usesHeadroom
 	if spec.MaxPerTarget > 0 {
 		// The limit depends on where the step's other tasks run, so the result holds for this
 		// job only.
@@ -176,7 +186,7 @@
 	if n.Service != c.step.job.terms.Service || n.countFitting(spec.CapacityUse(), n.free, 1) == 0 || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
-	if (n.reserved != nil && n.reserved != c.step) || !p.admits(c, n) {
+	if (n.reserved != nil && n.reserved != c.step) || (n.kept && !c.usesHeadroom) || !p.admits(c, n) {
 		return false
 	}
 	return spec.MaxPerTarget == 0 || n.count(c.step) < spec.MaxPerTarget
