Callers read and cancel jobs of their own organisation only

A caller could read and cancel any job whose ID it knew, and a mark that was written in advance cancelled whoever submitted under the ID.

A cancellation now has a key for each organisation, job/ID/cancelled/HASH, and binds only that organisation's submission; another's ID is answered with 410 like an unknown one. Progress records name the organisation, so that a state still takes one read. Marks of earlier releases bind any submission as before. Marks that bind no known job are removed after their own retention period, the others with the job.

--- a/cmd/eelgrasstide/front.go
+++ b/cmd/eelgrasstide/front.go
@@ -93,6 +93,7 @@
 		Store: e.Store, Catalogue: e.Catalogue, StoreFailing: relayedStore.Failing, Alone: relayedStore.Alone, Metrics: registry, Log: log.Log,
 		Backoff: backoff.Backoff{Min: own.Admission.MinRetryAfter.AsDuration(), Max: own.Admission.MaxRetryAfter.AsDuration()},
 	}
+	e.Intake.EarlierHosts = hostRoster.EarlierHosts
 	if own.Admission.GetRefuseByLoad() {
 		e.Load = &loadcopy.Copy{Store: e.Store, MaxAge: own.Admission.MaxDigestAge.AsDuration(), Metrics: registry, Log: log.Log}
 		e.Intake.Load, e.Intake.StoreFailedAt = e.Load, relayedStore.FailedAt
--- a/internal/coordinator/cancel_test.go
+++ b/internal/coordinator/cancel_test.go
@@ -38,10 +38,10 @@
 // retry.
 func (d *deployment) cancelUnknown() {
 	d.t.Helper()
-	err := d.intake.Cancel(d.t.Context(), intake.Call{ID: cancelTestJob})
+	err := d.intake.Cancel(d.t.Context(), intake.Call{Organisation: "o", ID: cancelTestJob})
 	for errkind.Unavailable.Is(err) {
 		time.Sleep(intake.RetryAfterSeconds * time.Second)
-		err = d.intake.Cancel(d.t.Context(), intake.Call{ID: cancelTestJob})
+		err = d.intake.Cancel(d.t.Context(), intake.Call{Organisation: "o", ID: cancelTestJob})
 	}
 	if !errkind.Gone.Is(err) {
 		d.t.Errorf("Intake.Cancel: have %v, want a gone error", err)
@@ -63,7 +63,7 @@
 				time.Sleep(5 * time.Second)
 				d.submitLate(6 * time.Second)
 				d.cancelUnknown()
-				if phase, err := d.intake.State(t.Context(), intake.Call{ID: cancelTestJob}); !errkind.Gone.Is(err) {
+				if phase, err := d.intake.State(t.Context(), intake.Call{Organisation: "o", ID: cancelTestJob}); !errkind.Gone.Is(err) {
 					t.Errorf("the state of a job that nobody has submitted: have %s (%v), want a gone error", phase, err)
 				}
 				meanwhile(d)
@@ -88,11 +88,11 @@
 		time.Sleep(5 * time.Second)
 		d.cancelUnknown()
 		time.Sleep(time.Minute)
-		if item, err := d.store.Get(t.Context(), records.CancelledKey(cancelTestJob)); err != nil || item == nil {
+		if item, err := d.store.Get(t.Context(), records.CancellationBy(cancelTestJob, "o").Key()); err != nil || item == nil {
 			t.Errorf("the cancellation after a minute: have none (%v), want one", err)
 		}
 		time.Sleep(retention)
-		item, err := d.store.Get(t.Context(), records.CancelledKey(cancelTestJob))
+		item, err := d.store.Get(t.Context(), records.CancellationBy(cancelTestJob, "o").Key())
 		if err != nil || item != nil {
 			t.Errorf("the cancellation after the retention period: have %+v (%v), want none", item, err)
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -97,7 +97,7 @@
 	// acknowledged before are known.
 	jobsSeen time.Time
 
-	// removals holds, by job, the revision in which its records were removed, until the watch of
+	// removals holds, by key, the revision in which a record was removed, until the watch of
 	// jobs has reached it. What the store returns from before that revision is out of date.
 	removals map[string]int64
 	// submissions holds, by job, the revision of its submission.
--- a/internal/coordinator/coordinator_prop_test.go
+++ b/internal/coordinator/coordinator_prop_test.go
@@ -77,7 +77,7 @@
 	if err := d.intake.Submit(ctx, intake.Call{Queue: "q2", Organisation: "o", ID: job.ID}, job); err != nil {
 		d.t.Logf("a caller leaves before it has an answer: %v", err)
 	}
-	if err := d.intake.Cancel(context.Background(), intake.Call{ID: job.ID}); err == nil || errkind.Gone.Is(err) {
+	if err := d.intake.Cancel(context.Background(), intake.Call{Organisation: "o", ID: job.ID}); err == nil || errkind.Gone.Is(err) {
 		d.fleet.JobCancelled(job.ID)
 	}
 }
@@ -90,7 +90,7 @@
 		d.cancelled[id] = true
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		if err := d.intake.Cancel(ctx, intake.Call{ID: id}); err == nil {
+		if err := d.intake.Cancel(ctx, intake.Call{Organisation: "o", ID: id}); err == nil {
 			d.fleet.JobCancelled(id)
 		}
 		return
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -277,7 +277,7 @@
 	time.Sleep(recoveryTime)
 	violations := d.fleet.Violations()
 	for _, id := range d.acceptedIDs() {
-		phase, err := d.intake.State(context.Background(), intake.Call{ID: id})
+		phase, err := d.intake.State(context.Background(), intake.Call{Organisation: "o", ID: id})
 		switch {
 		case err != nil:
 			violations = append(violations, fmt.Sprintf("lost: the state of the accepted job %s cannot be read: %v", id, err))
--- a/internal/coordinator/queue_test.go
+++ b/internal/coordinator/queue_test.go
@@ -126,7 +126,7 @@
 		d.reconfigure(removeQueue)
 		d.restartHosts()
 		time.Sleep(recoveryTime)
-		phase, err := d.intake.State(t.Context(), intake.Call{ID: queueTestJob})
+		phase, err := d.intake.State(t.Context(), intake.Call{Organisation: "o", ID: queueTestJob})
 		if err != nil || phase != wire.JobPhase_JOB_PHASE_FAILED {
 			t.Errorf("the job of which each run fails: have %s (%v), want failed", phase, err)
 		}
--- a/internal/coordinator/removal.go
+++ b/internal/coordinator/removal.go
@@ -13,7 +13,7 @@
 )
 
 // expire removes the records of jobs that ended longer ago than the retention period, and
-// cancellations of jobs that were never submitted.
+// cancellations that have bound no job.
 func (s *session) expire(ctx context.Context) error {
 	for sleep(ctx, expiryPeriod) {
 		s.mu.Lock()
@@ -24,8 +24,8 @@
 				break
 			}
 		}
-		for _, id := range cancellations {
-			if err := s.removeCancellation(ctx, id); err != nil {
+		for _, cancellation := range cancellations {
+			if err := s.removeCancellation(ctx, cancellation); err != nil {
 				break
 			}
 		}
@@ -33,21 +33,32 @@
 	return ctx.Err()
 }
 
-// removeJob removes the records of an ended job. They are no longer this job's if the submission has
+// removeJob removes the records of an ended job and the marks that bind it. Marks of other organisations
+// stay until they expire, as their submissions may still be carried out. The records are no longer this job's if the submission has
 // another revision: an earlier removal got no answer and was carried out, and the ID may have been
 // used again since. The error is that of the store.
 func (s *session) removeJob(ctx context.Context, id string) error {
 	s.mu.Lock()
 	submitted := s.submissions[id]
+	keys := []string{records.SubmittedKey(id), records.ProgressKey(id)}
+	for _, cancellation := range s.plan.Cancellations(id) {
+		keys = append(keys, cancellation.Key())
+	}
 	s.mu.Unlock()
-	result, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id), Revision: submitted},
-		records.SubmittedKey(id), records.CancelledKey(id), records.ProgressKey(id))
-	if err != nil || result.Applied || !s.holdsTerm(result.Current) {
+	result, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id), Revision: submitted}, keys)
+	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.forget(id, submitted)
+	if result.Applied {
+		s.forget(id, result.Revision, keys)
+		return nil
+	}
+	if !s.holdsTerm(result.Current) {
+		return nil
+	}
+	s.forget(id, submitted, keys)
 	revision := int64(0)
 	for _, item := range result.Current {
 		if item.Key == records.SubmittedKey(id) {
@@ -60,18 +71,29 @@
 	return nil
 }
 
-// removeCancellation removes the cancellation of a job that was never submitted. The error is that
-// of the store.
-func (s *session) removeCancellation(ctx context.Context, id string) error {
-	_, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id)}, records.CancelledKey(id))
-	return err
+// removeCancellation removes a mark that has bound no job: none was submitted under the ID, or only
+// another organisation's. The error is that of the store.
+func (s *session) removeCancellation(ctx context.Context, cancellation records.Cancellation) error {
+	s.mu.Lock()
+	submitted := s.submissions[cancellation.Job]
+	s.mu.Unlock()
+	keys := []string{cancellation.Key()}
+	result, err := s.remove(ctx, cancellation.Job, keyvalue.Expectation{Key: records.SubmittedKey(cancellation.Job), Revision: submitted}, keys)
+	if err != nil || !result.Applied {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteRemoval(result.Revision, keys)
+	s.plan.ForgetCancellation(cancellation)
+	return nil
 }
 
 // remove removes records of a job if its submission is as expected; otherwise they are looked at
 // again in the next period. A removal that the store carries out after the term would take progress
 // from a successor that is reading it, and the job would look new, so it is conditional on the term
 // too. The error is that of the store.
-func (s *session) remove(ctx context.Context, id string, submission keyvalue.Expectation, keys ...string) (keyvalue.TxnResult, error) {
+func (s *session) remove(ctx context.Context, id string, submission keyvalue.Expectation, keys []string) (keyvalue.TxnResult, error) {
 	result, err := s.Store.Commit(ctx, keyvalue.Txn{
 		Expect: []keyvalue.Expectation{{Key: term.RecordKey, Revision: s.currentTerm.Revision}, submission}, Deletes: keys,
 	})
@@ -80,20 +102,24 @@
 		return result, err
 	}
 	s.Log.WithFields(log.Fields{"job": id, "token": s.currentTerm.Token, "revision": result.Revision}).Info("coordinator: an expired job's records were removed")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.forget(id, result.Revision)
 	return result, nil
 }
 
 // forget drops a job whose records up to a revision of the store are removed. The session's lock must
 // be held.
-func (s *session) forget(id string, revision int64) {
-	s.removals[id] = revision
+func (s *session) forget(id string, revision int64, keys []string) {
+	s.noteRemoval(revision, keys)
 	delete(s.submissions, id)
 	s.plan.Forget(id)
 }
 
+// noteRemoval keeps the revision in which keys were removed. The session's lock must be held.
+func (s *session) noteRemoval(revision int64, keys []string) {
+	for _, key := range keys {
+		s.removals[key] = revision
+	}
+}
+
 // holdsTerm reports whether the term's record is among items, as this term wrote it.
 func (s *session) holdsTerm(items []keyvalue.Item) bool {
 	return slices.ContainsFunc(items, func(item keyvalue.Item) bool {
--- a/internal/coordinator/removal_test.go
+++ b/internal/coordinator/removal_test.go
@@ -56,7 +56,7 @@
 		time.Sleep(50 * time.Millisecond)
 		d.submitThrough()
 		time.Sleep(recoveryTime)
-		if phase, err := d.intake.State(t.Context(), intake.Call{ID: queueTestJob}); err != nil || phase != wire.JobPhase_JOB_PHASE_DONE {
+		if phase, err := d.intake.State(t.Context(), intake.Call{Organisation: "o", ID: queueTestJob}); err != nil || phase != wire.JobPhase_JOB_PHASE_DONE {
 			t.Errorf("the job that was accepted after the removal: have %s (%v), want it done", phase, err)
 		}
 		if item, err := d.store.Get(t.Context(), records.ProgressKey(queueTestJob)); err != nil || item == nil {
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -107,24 +107,24 @@
 	return progress, unreadable
 }
 
-// processJobs processes submissions and then cancellations. What is older than the removal of a job's
-// records is ignored. The session's lock must be held.
+// processJobs processes submissions and then cancellations. A record that is older than the removal
+// of its key is ignored. The session's lock must be held.
 func (s *session) processJobs(items []keyvalue.Item, progress map[string]*wire.ProgressRecord) {
 	for _, item := range items {
-		if id, cancelled, ok := records.ParseJobKey(item.Key); ok && !cancelled && !item.Deleted {
+		if id, ok := records.ParseSubmittedKey(item.Key); ok && !item.Deleted {
 			s.processSubmission(id, item, progress)
 		}
 	}
 	for _, item := range items {
-		if id, cancelled, ok := records.ParseJobKey(item.Key); ok && cancelled && !item.Deleted && item.Revision > s.removals[id] {
-			s.plan.Cancel(time.Now(), id)
+		if mark, ok := records.ParseCancelledKey(item.Key); ok && !item.Deleted && item.Revision > s.removals[item.Key] {
+			s.plan.Cancel(time.Now(), mark)
 		}
 	}
 }
 
 // processSubmission adds a submitted job to the scheduler. The session's lock must be held.
 func (s *session) processSubmission(id string, item keyvalue.Item, progress map[string]*wire.ProgressRecord) {
-	if s.plan.HasJob(id) || item.Revision <= s.removals[id] || s.unreadable[records.ProgressKey(id)] {
+	if s.plan.HasJob(id) || item.Revision <= s.removals[item.Key] || s.unreadable[records.ProgressKey(id)] {
 		return
 	}
 	record := &wire.SubmissionRecord{}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -63,10 +63,14 @@
 	StoreFailedAt func() time.Time
 	// Hosts, if set, returns the number of hosts that take submissions.
 	Hosts func() int
+	// EarlierHosts, if set, reports whether hosts of a release may run that does not know marks of
+	// organisations.
+	EarlierHosts func() bool
 
-	breaker    breaker
-	policy     overload.Policy
-	lateWrites lateWrites
+	breaker       breaker
+	policy        overload.Policy
+	lateWrites    lateWrites
+	cancellations cancellationLimits
 }
 
 // Call is a caller's request that Admit has authorised.
@@ -209,28 +213,6 @@
 	}
 }
 
-// Cancel writes the cancellation of a job to the store, also if the store does not have the job: its
-// submission may be carried out after the answer. The error is Gone for an unknown job, which then
-// never runs, Unavailable if the cancellation was not written, and Ambiguous if it may have been.
-func (i *Intake) Cancel(ctx context.Context, call Call) error {
-	ctx, cancel := i.bound(ctx, call)
-	defer cancel()
-	start := time.Now()
-	item, err := retry(ctx, func() (*keyvalue.Item, error) { return i.Store.Get(ctx, records.SubmittedKey(call.ID)) })
-	if err != nil {
-		return i.reject(call, err)
-	}
-	known, err := i.create(ctx, records.CancelledKey(call.ID), []byte{1})
-	if err != nil {
-		return i.reject(call, err)
-	}
-	if item == nil {
-		return i.reject(call, errkind.Gone.New("submit the job under another ID", "Intake.Cancel: the store has no job %s; if its submission is carried out late, the job will be cancelled", call.ID))
-	}
-	i.logAnswer(call, "job cancelled", start, log.Fields{"known": known})
-	return nil
-}
-
 // Pending returns the number of the queue's accepted jobs that have not started a task, as
 // last written by the planner. Errors are Unavailable, or Invalid for a corrupt record.
 func (i *Intake) Pending(ctx context.Context, call Call) (int, error) {
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
@@ -23,7 +24,7 @@
 	ctx, cancel := i.bound(ctx, call)
 	defer cancel()
 	start := time.Now()
-	current, err := retry(ctx, func() (progress, error) { return i.progress(ctx, call.ID) })
+	current, err := retry(ctx, func() (progress, error) { return i.progress(ctx, call) })
 	if err != nil {
 		return current.phase, i.reject(call, err)
 	}
@@ -41,46 +42,75 @@
 }
 
 // progress reads the phase of a job: from its progress record or, before there is one, from its
-// submission and cancellation. The error is Gone if the store has neither a progress record nor a
-// submission.
-func (i *Intake) progress(ctx context.Context, id string) (progress, error) {
-	items, revision, err := i.Store.List(ctx, records.ProgressKey(id))
+// submission and cancellations. The submission is also read if the progress record names no organisation,
+// as those of earlier releases, or another one than the call's. The error is Gone if the store has no
+// submission of the call's organisation.
+func (i *Intake) progress(ctx context.Context, call Call) (progress, error) {
+	id := call.ID
+	items, progressRevision, err := i.Store.List(ctx, records.ProgressKey(id))
 	if err != nil {
 		return progress{}, err
 	}
-	if phase, ok, err := phaseOf(items, id); ok || err != nil {
-		return progress{phase, revision}, err
+	record, err := progressRecord(items, id)
+	if err != nil {
+		return progress{}, err
+	}
+	if record != nil && record.Organisation != nil && record.GetOrganisation() == call.Organisation {
+		return progress{record.GetPhase(), progressRevision}, nil
 	}
-	items, revision, err = i.Store.List(ctx, records.PrefixOfJob(id))
+	items, revision, err := i.Store.List(ctx, records.PrefixOfJob(id))
 	if err != nil {
 		return progress{}, err
 	}
-	submitted, cancelled := false, false
+	own, cancelled := false, false
 	for _, item := range items {
-		submitted = submitted || item.Key == records.SubmittedKey(id)
-		cancelled = cancelled || item.Key == records.CancelledKey(id)
+		switch item.Key {
+		case records.SubmittedKey(id):
+			if own, err = i.owns(call, item); err != nil {
+				return progress{}, err
+			}
+		case records.CancelledKey(id), records.CancellationBy(id, call.Organisation).Key():
+			cancelled = true
+		}
 	}
 	switch {
-	case !submitted:
+	case !own:
 		return progress{}, errkind.Gone.New("submit the job first", "Intake.progress: the store has no job %s", id)
+	case record != nil:
+		return progress{record.GetPhase(), progressRevision}, nil
 	case cancelled:
 		return progress{wire.JobPhase_JOB_PHASE_CANCELLED, revision}, nil
 	}
 	return progress{wire.JobPhase_JOB_PHASE_QUEUED, revision}, nil
 }
 
-// phaseOf returns the phase from a job's progress record. The second result is false if there
-// is no record, which is the case until the job's first task starts.
-func phaseOf(items []keyvalue.Item, id string) (wire.JobPhase, bool, error) {
+// owns reports whether a submission is of the call's organisation. The error is Invalid for a corrupt record.
+func (i *Intake) owns(call Call, submission keyvalue.Item) (bool, error) {
+	record := &wire.SubmissionRecord{}
+	if err := records.Decode(submission.Value, record); err != nil {
+		return false, err
+	}
+	if record.GetOrganisation() == call.Organisation {
+		return true, nil
+	}
+	metrics.GetOrRegisterCounter("intake.otherOrganisation", i.Metrics).Inc(1)
+	return false, nil
+}
+
+// progressRecord returns a job's progress record; nil if there is none, which is the case until the job's
+// first task starts.
+func progressRecord(items []keyvalue.Item, id string) (*wire.ProgressRecord, error) {
 	for _, item := range items {
 		if item.Key != records.ProgressKey(id) || item.Deleted {
 			continue
 		}
 		record := &wire.ProgressRecord{}
-		err := records.Decode(item.Value, record)
-		return record.GetPhase(), err == nil, err
+		if err := records.Decode(item.Value, record); err != nil {
+			return nil, err
+		}
+		return record, nil
 	}
-	return wire.JobPhase_JOB_PHASE_UNSPECIFIED, false, nil
+	return nil, nil //nolint:nilnil // No record is no error.
 }
 
 // awaitEnd waits up to endWait for a running job to end and returns its latest known
@@ -99,14 +129,14 @@
 			i.Log.WithError(err).WithField("job", id).WithField("revision", current.revision).Debug("intake: no update on a job's progress; returning the last known state")
 			return current
 		}
-		phase, ok, err := phaseOf(events.Items, id)
+		record, err := progressRecord(events.Items, id)
 		if err != nil {
 			i.Log.WithError(err).WithField("job", id).Error("intake: a job's progress record is corrupt; returning the last known state")
 			return current
 		}
 		current.revision = events.Revision
-		if ok {
-			current.phase = phase
+		if record != nil {
+			current.phase = record.GetPhase()
 		}
 	}
 	return current
--- a/internal/intake/state_test.go
+++ b/internal/intake/state_test.go
@@ -15,7 +15,7 @@
 
 func writeProgress(t *testing.T, store *batchstore.Store, id string, phase wire.JobPhase) {
 	t.Helper()
-	value, err := records.Encode(&wire.ProgressRecord{Phase: phase})
+	value, err := records.Encode(&wire.ProgressRecord{Phase: phase, Organisation: new(string)})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
@@ -108,7 +109,7 @@
 		if a := &m.arrivals[i]; a.cancelAt > 0 && a.cancelAt <= m.now {
 			a.cancelAt = 0
 			if m.report.cancel(a) {
-				m.scheduler.Cancel(m.time(), a.job.ID)
+				m.scheduler.Cancel(m.time(), records.CancellationBy(a.job.ID, a.job.Organisation))
 			}
 		}
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -3,6 +3,8 @@
 package records
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -32,27 +34,58 @@
 // SubmittedKey returns the key of a job's submission.
 func SubmittedKey(id string) string { return JobPrefix + id + submittedSuffix }
 
-// CancelledKey returns the key of a job's cancellation.
-func CancelledKey(id string) string { return JobPrefix + id + cancelledSuffix }
+// Cancellation names the mark of a cancelled job.
+type Cancellation struct {
+	Job string
+	// Owner encodes the organisation whose submission the mark binds. It is empty for a mark as earlier
+	// releases write it, which binds any submission.
+	Owner string
+}
+
+// CancellationBy returns the mark that binds the job of an organisation.
+func CancellationBy(id, organisation string) Cancellation {
+	// A hash gives names of any bytes and any length a key within the store's limit of 200 bytes.
+	hash := sha256.Sum256([]byte(organisation))
+	return Cancellation{Job: id, Owner: hex.EncodeToString(hash[:])}
+}
+
+// Key returns the key of the mark.
+func (c Cancellation) Key() string {
+	if c.Owner == "" {
+		return JobPrefix + c.Job + cancelledSuffix
+	}
+	return JobPrefix + c.Job + cancelledSuffix + "/" + c.Owner
+}
 
-// PrefixOfJob returns the common prefix of the keys of a job's submission and cancellation.
+// CancelledKey returns the key of a cancellation that binds any submission of the job.
+func CancelledKey(id string) string { return Cancellation{Job: id}.Key() }
+
+// PrefixOfJob returns the common prefix of the keys of a job's submission and cancellations.
 func PrefixOfJob(id string) string { return JobPrefix + id + "/" }
 
 // ProgressKey returns the key of a job's progress record.
 func ProgressKey(id string) string { return ProgressPrefix + id }
 
-// ParseJobKey returns the job ID in the key of a submission or cancellation, and whether it is
-// the key of a cancellation. ok is false for any other key.
-func ParseJobKey(key string) (id string, cancelled, ok bool) {
+// ParseSubmittedKey returns the job ID in the key of a submission; ok is false for any other key.
+func ParseSubmittedKey(key string) (id string, ok bool) {
+	rest, ok := strings.CutPrefix(key, JobPrefix)
+	if !ok {
+		return "", false
+	}
+	return strings.CutSuffix(rest, submittedSuffix)
+}
+
+// ParseCancelledKey returns the mark of which this is the key; ok is false for any other key.
+func ParseCancelledKey(key string) (mark Cancellation, ok bool) {
 	rest, ok := strings.CutPrefix(key, JobPrefix)
 	if !ok {
-		return "", false, false
+		return Cancellation{}, false
 	}
 	if id, found := strings.CutSuffix(rest, cancelledSuffix); found {
-		return id, true, true
+		return Cancellation{Job: id}, true
 	}
-	id, found := strings.CutSuffix(rest, submittedSuffix)
-	return id, false, found
+	id, owner, found := strings.Cut(rest, cancelledSuffix+"/")
+	return Cancellation{Job: id, Owner: owner}, found && owner != ""
 }
 
 // Decode decodes a record. Errors are Invalid.
--- a/internal/scheduler/consistency_test.go
+++ b/internal/scheduler/consistency_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -106,7 +107,7 @@
 	case 2, 3, 4:
 		s.report(i)
 	case 5:
-		s.Cancel(s.now, fmt.Sprintf("%016x", 1+s.random.IntN(s.jobs+1)))
+		s.Cancel(s.now, records.Cancellation{Job: fmt.Sprintf("%016x", 1+s.random.IntN(s.jobs+1))})
 	case 6:
 		if s.random.IntN(3) == 0 {
 			s.restart(i)
--- a/internal/scheduler/fields_test.go
+++ b/internal/scheduler/fields_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
@@ -69,7 +70,7 @@
 	if len(plan.Starts) != 4 {
 		t.Fatalf("have %d starts, want 4", len(plan.Starts))
 	}
-	f.Cancel(f.now, "a")
+	f.Cancel(f.now, records.Cancellation{Job: "a"})
 	if have := len(events["run closed"]); have != 4 {
 		t.Errorf("run closed: have %d lines, want 4", have)
 	}
--- a/internal/scheduler/price_test.go
+++ b/internal/scheduler/price_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -42,11 +43,11 @@
 	// With twice the work of the other job, this one has 4/3 of the queue's mean work.
 	submit("longer", "q2", 4*fleetSize, 20*time.Second)
 	price()
-	s.Cancel(s.now, "waiting")
+	s.Cancel(s.now, records.Cancellation{Job: "waiting"})
 	if have, want := price(), 0.25*(0.5+0.5*4/3)/(4*fleetSize*20); have < want*0.99 || have > want*1.1 {
 		t.Errorf("price after one of two jobs was cancelled: have %g, want %g, that of the other", have, want)
 	}
-	s.Cancel(s.now, "longer")
+	s.Cancel(s.now, records.Cancellation{Job: "longer"})
 	if have := price(); have != 0 {
 		t.Errorf("price after both jobs were cancelled: have %g, want 0", have)
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -14,7 +14,7 @@
 // record returns the record of a job's progress in the store. It lists only units that have been
 // started.
 func (j *job) record() *wire.ProgressRecord {
-	record := &wire.ProgressRecord{Phase: j.phase}
+	record := &wire.ProgressRecord{Phase: j.phase, Organisation: &j.Organisation}
 	if !j.ended.IsZero() {
 		record.Ended = timestamppb.New(j.ended)
 	}
@@ -73,7 +73,7 @@
 			s.restoreUnit(now, u, record)
 		}
 	}
-	s.applyEarlyCancellation(now, j.ID)
+	s.applyEarlyCancellations(now, j)
 }
 
 func (s *Scheduler) restoreUnit(now time.Time, u *unit, record *wire.UnitRecord) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -111,7 +112,7 @@
 func TestStopThatTheFormerIncarnationAcceptedIsRepeated(t *testing.T) {
 	f := newFixture(t, 2)
 	f.startFirst(target.Unanswered)
-	f.Cancel(f.now, "a")
+	f.Cancel(f.now, records.Cancellation{Job: "a"})
 	stop := f.Step(f.now).Stops[0]
 	f.restart(0, firstBorn+1)
 	f.StopAnswered(f.now, stop, firstBorn, target.Reply{Answer: target.Accepted})
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/policy"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/terms"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -41,9 +42,9 @@
 	// open holds the jobs that have not ended, and ordered the targets by ID.
 	open    map[string]*job
 	ordered []*node
-	// earlyCancellations holds, by job, when the cancellation of a job was learned of that is not
-	// known. The store may carry its submission out later.
-	earlyCancellations map[string]time.Time
+	// earlyCancellations holds when a cancellation was learned of that binds no known job: the job is not
+	// known, or is another organisation's. The store may carry the submission out later.
+	earlyCancellations map[records.Cancellation]time.Time
 	// dirty holds the jobs whose progress has changed since the last step.
 	dirty map[string]*job
 	// allDone holds the open jobs that may have no units left, to be looked at in the next step.
@@ -145,7 +146,7 @@
 		s.open, s.dirty, s.allDone, s.ends = map[string]*job{}, map[string]*job{}, map[string]*job{}, map[string]*node{}
 		s.backlogs = map[string]backlog{}
 		s.Limits.Policy.Defaults()
-		s.earlyCancellations, s.toCheckAttempts = map[string]time.Time{}, map[string]*job{}
+		s.earlyCancellations, s.toCheckAttempts = map[records.Cancellation]time.Time{}, map[string]*job{}
 		s.handover.withheld, s.handover.inherited = map[string]int64{}, map[string]inheritedSilence{}
 	}
 }
@@ -192,7 +193,7 @@
 	s.initialise()
 	if s.jobs[submitted.ID] == nil {
 		s.setTerms(s.add(now, submitted, submitted.AcceptedTerms), s.catalogue)
-		s.applyEarlyCancellation(now, submitted.ID)
+		s.applyEarlyCancellations(now, s.jobs[submitted.ID])
 	}
 }
 
@@ -212,14 +213,18 @@
 	return j
 }
 
-// Cancel ends a job at its caller's request. One that is not known yet ends as soon as it is.
-func (s *Scheduler) Cancel(now time.Time, id string) {
+// Cancel ends a job at its caller's request. If the cancellation binds no known job, one that it binds
+// ends as soon as it is known.
+func (s *Scheduler) Cancel(now time.Time, cancellation records.Cancellation) {
 	s.initialise()
-	j := s.jobs[id]
-	if j == nil {
-		if _, ok := s.earlyCancellations[id]; !ok {
-			s.earlyCancellations[id] = now
-			s.log("cancellation kept", Fields{"job": id, "reason": "the job is not known; its submission may be carried out late"})
+	j := s.jobs[cancellation.Job]
+	if j == nil || !slices.Contains(j.cancellations(), cancellation) {
+		if _, ok := s.earlyCancellations[cancellation]; !ok {
+			s.earlyCancellations[cancellation] = now
+			s.log("cancellation kept", Fields{
+				"job": cancellation.Job, "owner": cancellation.Owner, "known": j != nil,
+				"reason": "it binds no known job; the submission may be carried out late",
+			})
 		}
 		return
 	}
@@ -228,26 +233,46 @@
 	}
 }
 
-// applyEarlyCancellation ends a job that has just become known if it was cancelled before.
-func (s *Scheduler) applyEarlyCancellation(now time.Time, id string) {
-	if _, ok := s.earlyCancellations[id]; ok {
-		delete(s.earlyCancellations, id)
-		s.Cancel(now, id)
+// cancellations returns the cancellations that bind the job.
+func (j *job) cancellations() []records.Cancellation {
+	return []records.Cancellation{{Job: j.ID}, records.CancellationBy(j.ID, j.Organisation)}
+}
+
+// Cancellations returns the cancellations that bind a known job.
+func (s *Scheduler) Cancellations(id string) []records.Cancellation {
+	if j := s.jobs[id]; j != nil {
+		return j.cancellations()
 	}
+	return nil
 }
 
-// ExpiredCancellations returns the jobs whose cancellation was learned of longer ago than the
-// retention period, and lateWriteTime, and that have not become known.
-func (s *Scheduler) ExpiredCancellations(now time.Time) []string {
-	var out []string
-	for id, since := range s.earlyCancellations {
+// applyEarlyCancellations ends a job that has just become known if it was cancelled before.
+func (s *Scheduler) applyEarlyCancellations(now time.Time, j *job) {
+	for _, cancellation := range j.cancellations() {
+		if _, ok := s.earlyCancellations[cancellation]; ok {
+			delete(s.earlyCancellations, cancellation)
+			s.Cancel(now, cancellation)
+		}
+	}
+}
+
+// ExpiredCancellations returns the cancellations that were learned of longer ago than the retention
+// period, and lateWriteTime, and that bind no known job.
+func (s *Scheduler) ExpiredCancellations(now time.Time) []records.Cancellation {
+	var out []records.Cancellation
+	for cancellation, since := range s.earlyCancellations {
 		if now.Sub(since) >= max(s.Limits.Retention, lateWriteTime) {
-			out = append(out, id)
+			out = append(out, cancellation)
 		}
 	}
 	return out
 }
 
+// ForgetCancellation removes a cancellation whose mark has been deleted from the store.
+func (s *Scheduler) ForgetCancellation(cancellation records.Cancellation) {
+	delete(s.earlyCancellations, cancellation)
+}
+
 // HasJob reports whether the scheduler holds the job.
 func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
 
@@ -333,11 +358,10 @@
 	return out
 }
 
-// Forget removes a job, or the cancellation of an unknown one, whose records have been deleted from
-// the store.
+// Forget removes a job whose records have been deleted from the store. Cancellations by other organisations
+// stay: they bind submissions that may still be carried out.
 func (s *Scheduler) Forget(id string) {
 	delete(s.jobs, id)
 	delete(s.open, id)
 	delete(s.toCheckAttempts, id)
-	delete(s.earlyCancellations, id)
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -240,7 +241,7 @@
 	if have := len(f.Step(f.now).Starts); have != 12 {
 		t.Fatalf("have %d starts, want 12", have)
 	}
-	f.Cancel(f.now, "gang")
+	f.Cancel(f.now, records.Cancellation{Job: "gang"})
 	wide := smallStep(40)
 	wide.Needs.MilliCores = 2000
 	f.submit("wide", "batch", wide)
