--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,9 +23,6 @@
 	lease       = 15 * time.Second
 	maxPeriod   = 4 * time.Second
 	firstPeriod = 500 * time.Millisecond
-	// earlierTime is for how long no host of an earlier release may be listed before none is taken to run.
-	// The entry of one that is slow or cut off can be missing for a time.
-	earlierTime = time.Minute
 )
 
 // Roster keeps this host's entry in the store and the list of the other hosts. Set the
@@ -45,9 +42,7 @@
 	peers []netip.AddrPort
 	// inOtherZone is true for the peers of other availability zones.
 	inOtherZone map[netip.AddrPort]bool
-	// allCurrentSince is when this host first read a list without hosts of an earlier release; zero if the
-	// last list had one.
-	allCurrentSince time.Time
+	releases    releases
 }
 
 // Peers returns the addresses of the other hosts, as last read from the store.
@@ -64,14 +59,6 @@
 	return r.inOtherZone[address]
 }
 
-// EarlierHosts reports whether hosts may run that do not know cancellations which bind the jobs of one
-// organisation. It is true until a minute after the last list with such a host, or after the first list.
-func (r *Roster) EarlierHosts() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.allCurrentSince.IsZero() || time.Since(r.allCurrentSince) < earlierTime
-}
-
 // Run renews this host's entry and reads the list, at once and then at intervals that grow
 // from 0.5 s to 4 s, until ctx ends. It returns the error of ctx.
 func (r *Roster) Run(ctx context.Context) error {
@@ -148,13 +135,7 @@
 		inOtherZone[address] = record.GetZone() != r.Zone
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.peers, r.inOtherZone = peers, inOtherZone
-	switch {
-	case !allCurrent:
-		r.allCurrentSince = time.Time{}
-	case r.allCurrentSince.IsZero():
-		r.allCurrentSince = time.Now()
-	}
-	return nil
+	r.mu.Unlock()
+	return r.noteReleases(ctx, allCurrent)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -74,7 +74,20 @@
 		check("just after the last one left", true)
 		time.Sleep(time.Minute)
 		check("a minute later", false)
+		late := &roster.Roster{Store: backend, Name: "c", Zone: "z", Address: netip.MustParseAddrPort("127.0.0.1:3"), Log: r.Log}
+		lateEnded := make(chan error, 1)
+		go func() { lateEnded <- late.Run(ctx) }()
+		time.Sleep(time.Second)
+		if late.EarlierHosts() {
+			t.Error("EarlierHosts of a host that has just started, after another found none: have true, want false")
+		}
+		if _, err := backend.Commit(ctx, keyvalue.Txn{Puts: []keyvalue.Put{{Key: "host/b", Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		check("after a roll-back has begun", true)
 		cancel()
 		<-ended
+		<-lateEnded
 	})
 }
