--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -47,8 +47,8 @@
 
 // Cancel writes the cancellation of a job to the store, also if the store does not have the job or it is
 // another organisation's: the submission of the call's organisation may be carried out after the answer.
-// The error is Gone for a job that the organisation does not have, which then never runs for it,
-// Unavailable if the cancellation was not written, and Ambiguous if it may have been.
+// The error is Gone for a job that the organisation does not have, which then never runs for it, Unavailable
+// if the cancellation was not written, Ambiguous if it may have been, and Invalid for a corrupt submission.
 func (i *Intake) Cancel(ctx context.Context, call Call) error {
 	ctx, cancel := i.bound(ctx, call)
 	defer cancel()
@@ -57,19 +57,20 @@
 	if err != nil {
 		return i.reject(call, err)
 	}
-	own := false
+	own, corrupt := false, error(nil)
 	if item != nil {
-		if own, err = i.owns(call, *item); err != nil {
-			return i.reject(call, err)
-		}
+		own, corrupt = i.owns(call, *item)
 	}
 	if !own && !i.cancellations.allow(start, call.Organisation) {
 		return i.rejectCancellation(call)
 	}
-	known, err := i.writeCancellation(ctx, call, item == nil || own)
+	known, err := i.writeCancellation(ctx, call, item == nil || own || corrupt != nil)
 	if err != nil {
 		return i.reject(call, err)
 	}
+	if corrupt != nil {
+		return i.reject(call, corrupt)
+	}
 	if !own {
 		return i.reject(call, errkind.Gone.New("submit the job under another ID", "Intake.Cancel: the store has no job %s; if its submission is carried out late, the job will be cancelled", call.ID))
 	}
--- a/internal/intake/cancel_test.go
+++ b/internal/intake/cancel_test.go
@@ -166,3 +166,20 @@
 		}
 	})
 }
+
+// Guards against cancellations that leave no mark because the job's submission cannot be decoded: a host that
+// can decode it would run the job.
+func TestCancelOfACorruptSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &batchstore.Store{}
+		if _, err := store.Commit(t.Context(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: records.SubmittedKey(testJob), Value: []byte{0xff}}}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := newIntake(store).Cancel(t.Context(), callOf("o", testJob)); !errkind.Invalid.Is(err) {
+			t.Errorf("Cancel: have %v, want an invalid error", err)
+		}
+		if have, want := markKeys(t, store), []string{records.CancellationBy(testJob, "o").Key()}; !slices.Equal(have, want) {
+			t.Errorf("marks: have %v, want %v", have, want)
+		}
+	})
+}
