--- a/internal/loadmodel/loadmodel.go
+++ b/internal/loadmodel/loadmodel.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 )
@@ -139,7 +140,7 @@
 		if a := &m.arrivals[i]; a.cancelAt > 0 && a.cancelAt <= m.now {
 			a.cancelAt = 0
 			if m.report.cancel(a) {
-				m.scheduler.Cancel(m.time(), a.job.ID)
+				m.scheduler.Cancel(m.time(), records.CancellationBy(a.job.ID, a.job.Organisation))
 			}
 		}
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -42,6 +42,7 @@
 	peers []netip.AddrPort
 	// inOtherZone is true for the peers of other availability zones.
 	inOtherZone map[netip.AddrPort]bool
+	releases    releases
 }
 
 // Peers returns the addresses of the other hosts, as last read from the store.
@@ -93,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := records.Encode(&wire.HostRecord{Name: r.Name, Zone: r.Zone, Address: r.Address.String()})
+	value, err := records.Encode(&wire.HostRecord{Name: r.Name, Zone: r.Zone, Address: r.Address.String(), OrganisationMarks: true})
 	if err != nil {
 		return err
 	}
@@ -117,21 +118,24 @@
 	}
 	var peers []netip.AddrPort
 	inOtherZone := map[netip.AddrPort]bool{}
+	allCurrent := true
 	for _, item := range items {
 		record := &wire.HostRecord{}
 		if err := records.Decode(item.Value, record); err != nil {
 			r.Log.WithError(err).WithField("key", item.Key).Warn("roster: a host's entry could not be decoded and is ignored")
+			allCurrent = false
 			continue
 		}
 		address, err := netip.ParseAddrPort(record.GetAddress())
 		if err != nil || address == r.Address {
 			continue
 		}
+		allCurrent = allCurrent && record.GetOrganisationMarks()
 		peers = append(peers, address)
 		inOtherZone[address] = record.GetZone() != r.Zone
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.peers, r.inOtherZone = peers, inOtherZone
-	return nil
+	r.mu.Unlock()
+	return r.noteReleases(ctx, allCurrent)
 }
--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
+	"github.com/eelgrasstide/eelgrasstide/internal/records"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
@@ -50,7 +51,7 @@
 			f.t.Fatalf("have starts %v, want one on t0", starts)
 		}
 		f.endRun(starts[0], int64(2+i), target.Failed)
-		f.Cancel(f.now, job)
+		f.Cancel(f.now, records.Cancellation{Job: job})
 		f.advance(100 * time.Millisecond)
 	}
 }
@@ -64,7 +65,7 @@
 	if starts := f.startAll(); len(starts) != 0 {
 		t.Errorf("have starts %v for work of priority 0 after a failure, want none", starts)
 	}
-	f.Cancel(f.now, "urgent")
+	f.Cancel(f.now, records.Cancellation{Job: "urgent"})
 	f.submit("single", "batch", smallStep(2))
 	if starts := f.startAll(); len(starts) != 2 {
 		t.Errorf("have starts %v for two single tasks after one failure, want both on t0", starts)
