--- a/internal/dispatcher/payload.go
+++ b/internal/dispatcher/payload.go
@@ -10,13 +10,20 @@
 	}
 }
 
-// reservePayload takes the memory for the payload and reports whether there is any. The lock is held.
+// reservePayload takes the memory for the payload and reports whether there is any. Only large payloads are
+// counted for their organisation. The lock is held.
 func (d *Dispatcher) reservePayload(w *work) bool {
 	if d.Payloads == nil {
 		return true
 	}
-	release, ok := d.Payloads.Reserve(int64(len(w.payload)), "organisation:"+w.req.GetOrganisation())
-	w.releasePayload = release
+	var holders []string
+	if int64(len(w.payload)) > d.Payloads.SmallBytes {
+		holders = append(holders, "organisation:"+w.req.GetOrganisation())
+	}
+	reserved, ok := d.Payloads.Reserve(int64(len(w.payload)), holders...)
+	if ok {
+		w.releasePayload = reserved.Release
+	}
 	return ok
 }
 
--- a/internal/host/api.go
+++ b/internal/host/api.go
@@ -30,7 +30,8 @@
 const (
 	maxWorkBytes  = 1 << 20
 	maxApplyBytes = 8 << 20
-	applyPath     = "/v1/operator/configuration"
+	operatorPath  = "/v1/operator"
+	applyPath     = operatorPath + "/configuration"
 	workPath      = "/v1/work"
 	// refusalWait is the time after which a caller may come back whose body was not read.
 	refusalWait = time.Second
@@ -50,7 +51,7 @@
 	app.Get("/v1/work/{ticket}", h.getWork)
 	app.Delete("/v1/work/{ticket}", h.deleteWork)
 	app.Get("/v1/work/{ticket}/explain", h.getExplanation)
-	operator := app.Party("/v1/operator", h.requireOperator)
+	operator := app.Party(operatorPath, h.requireOperator)
 	operator.Get("/hosts", h.getHosts)
 	operator.Get("/targets", h.getTargets)
 	operator.Get("/organisations", h.getOrganisations)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,7 +88,7 @@
 // otherwise the error that ended the server or a background loop.
 func (h *Host) Run(ctx context.Context) error {
 	h.registry = metrics.NewRegistry()
-	h.ingress = &ingress.Ingress{Name: "host", Limits: ingressLimits(h.Settings), Metrics: h.registry, Log: log.Log}
+	h.ingress = &ingress.Ingress{Name: "host", Limits: ingressLimits(h.Settings), Inner: isInner, Metrics: h.registry, Log: log.Log}
 	listener, err := h.ingress.Listen(h.Settings.GetListen())
 	if err != nil {
 		return errkind.Invalid.New("set listen to a free address of this host", "Host.Run: cannot listen: %v", err)
--- a/internal/host/limits.go
+++ b/internal/host/limits.go
@@ -2,11 +2,14 @@
 
 import (
 	"math"
+	"net/http"
+	"strings"
 
 	"golang.org/x/sys/unix"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
+	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
 const (
@@ -18,6 +21,11 @@
 	bodyMemoryShare = 0.25
 )
 
+// isInner reports whether a request is a call of another host or of an operator.
+func isInner(r *http.Request) bool {
+	return strings.HasPrefix(r.URL.Path, wire.HostPathPrefix) || strings.HasPrefix(r.URL.Path, operatorPath+"/")
+}
+
 // ingressLimits returns the limits on what clients can hold. Their defaults admit as many callers as
 // requests may wait and run, within half of the process's descriptors.
 func ingressLimits(s *settings.Settings) ingress.Limits {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -30,9 +30,11 @@
 	maxHeaderBytes = 16 << 10
 	// memoryFactor is the memory that a body takes while it is read, in multiples of its size: its buffer
 	// and the smaller one that it replaces.
-	memoryFactor  = 2
-	firstBuffer   = 4 << 10
-	kernelBuffer  = 64 << 10
+	memoryFactor = 2
+	firstBuffer  = 4 << 10
+	kernelBuffer = 64 << 10
+	// innerShare is the share of the memory for bodies that is kept for other hosts and operators.
+	innerShare    = 0.25
 	logInterval   = time.Second
 	refusalRemedy = "retry the call after the time given in the Retry-After header"
 )
@@ -40,14 +42,18 @@
 // Ingress bounds what the clients of one listener can hold. Set the exported fields before Server.
 type Ingress struct {
 	// Name names the listener in logs and metrics.
-	Name    string
-	Limits  Limits
+	Name   string
+	Limits Limits
+	// Inner, if set, reports whether a request comes from another host or an operator. The bodies of these
+	// have a share of the memory that those of clients cannot take.
+	Inner   func(*http.Request) bool
 	Metrics metrics.Registry
 	Log     log.Interface
 
 	prepared    sync.Once
 	connections connections.Connections
-	bodies      *budget.Budget
+	// bodies is the memory for the bodies of clients, and innerBodies that for Inner requests.
+	bodies, innerBodies *budget.Budget
 	// logged bounds the log lines.
 	logged rate.Sometimes
 }
@@ -56,7 +62,10 @@
 
 func (i *Ingress) prepare() {
 	i.prepared.Do(func() {
-		i.bodies = i.Limits.NewBudget()
+		i.bodies, i.innerBodies = i.Limits.NewBudget(), i.Limits.Share(innerShare).NewBudget()
+		if i.Inner != nil {
+			i.bodies = i.Limits.Share(1 - innerShare).NewBudget()
+		}
 		i.connections.Max, i.connections.WriteTimeout, i.connections.BytesPerSecond = i.Limits.MaxConnections, i.Limits.WriteTimeout, i.Limits.BytesPerSecond
 		i.connections.Closed = func(state string) { i.count("closed."+state, "") }
 		i.logged.Interval = logInterval
@@ -64,10 +73,13 @@
 			_ = i.Metrics.Register("ingress."+i.Name+"."+name, metrics.NewFunctionalGauge(value))
 		}
 		gauge("connections", func() int64 { return int64(i.connections.Open()) })
-		gauge("bodyBytes", i.bodies.Held)
+		gauge("bodyBytes", i.held)
 	})
 }
 
+// held returns the bytes of bodies that are reserved.
+func (i *Ingress) held() int64 { return i.bodies.Held() + i.innerBodies.Held() }
+
 // Listen opens a listener whose connections are limited, as are the buffers that the kernel has for them.
 func (i *Ingress) Listen(address string) (net.Listener, error) {
 	i.prepare()
@@ -159,6 +171,7 @@
 		return nil, nil, err
 	}
 	i.connections.Received(connection)
+	reader.reserved.Shrink(int64(cap(body)))
 	return body, reader.release, nil
 }
 
@@ -178,7 +191,7 @@
 	i.logged.Do(func() {
 		i.Log.WithFields(log.Fields{
 			"listener": i.Name, "limit": limit, "client": client, "connections": i.connections.Open(), "maxConnections": i.Limits.MaxConnections,
-			"bodyBytes": i.bodies.Held(), "bodyMemory": i.Limits.BodyMemory,
+			"bodyBytes": i.held(), "bodyMemory": i.Limits.BodyMemory,
 		}).Warn("ingress: a limit has acted")
 	})
 }
@@ -190,9 +203,9 @@
 	r       *http.Request
 	limit   int64
 	holders []string
-	// reserved is the memory that release gives back.
-	reserved int64
-	release  func()
+	// reserved is the memory of the body, of size bytes; nil if there is none.
+	reserved *budget.Reservation
+	size     int64
 }
 
 // reserve takes the memory for a body of the declared length, or for a small one if no length is given.
@@ -203,17 +216,25 @@
 	return b.take(b.r.ContentLength * memoryFactor)
 }
 
+// release gives the memory back.
+func (b *bodyReader) release() {
+	if b.reserved != nil {
+		b.reserved.Release()
+	}
+}
+
 func (b *bodyReader) take(bytes int64) error {
-	if b.release != nil {
-		b.release()
+	b.release()
+	bodies := b.ingress.bodies
+	if b.ingress.Inner != nil && b.ingress.Inner(b.r) {
+		bodies = b.ingress.innerBodies
 	}
-	release, ok := b.ingress.bodies.Reserve(bytes, b.holders...)
-	if !ok {
-		b.release = func() {}
+	var ok bool
+	if b.reserved, ok = bodies.Reserve(bytes, b.holders...); !ok {
 		b.ingress.refuse(b.w, b.r, "bodyMemory")
 		return errkind.Unavailable.New(refusalRemedy, "Ingress.ReadBody: there is no memory for a body of up to %d bytes now", bytes/memoryFactor)
 	}
-	b.reserved, b.release = bytes, release
+	b.size = bytes
 	return nil
 }
 
@@ -275,7 +296,7 @@
 // grow replaces the buffer by a larger one, for which a body without a declared length takes the memory.
 func (b *bodyReader) grow(body *[]byte) error {
 	size := b.capacity(len(*body))
-	if size*memoryFactor > b.reserved && b.r.ContentLength < 0 {
+	if size*memoryFactor > b.size && b.r.ContentLength < 0 {
 		if err := b.take(b.limit * memoryFactor); err != nil {
 			return err
 		}
