ingress: parts of nested messages count

CheckMessage counted the fields of the outermost message, so a heartbeat with 524,280 empty cordons, one level down, passed and was decoded to tens of times its size. The fields of nested messages count, by the type of the call's request, so that a stored value in a bytes field is one part. Where the type is not known, each field with a length counts as a message.

--- a/internal/ingress/message_test.go
+++ b/internal/ingress/message_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/ingress"
@@ -18,7 +19,7 @@
 func TestCheckMessage(t *testing.T) {
 	largest := &wire.HeartbeatRequest{}
 	for range 2000 {
-		largest.Sightings = append(largest.Sightings, &wire.TargetSighting{Name: "target"})
+		largest.Sightings = append(largest.Sightings, &wire.TargetSighting{Name: "target", Leaving: true})
 	}
 	heartbeat, err := proto.Marshal(largest)
 	if err != nil {
@@ -41,3 +42,29 @@
 		}
 	}
 }
+
+// Guards against: a message between hosts whose many empty parts are inside another message is decoded to tens of
+// times its size, or a value that merely looks like one is refused.
+func TestCheckMessageCountsNestedParts(t *testing.T) {
+	empty := bytes.Repeat([]byte{0x0a, 0}, 100000)
+	nested, err := proto.Marshal(&wire.RelayTxn{Puts: []*wire.RelayPut{{Key: "k", Value: empty}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	heartbeat := protowire.AppendBytes(protowire.AppendTag(nil, 4, protowire.BytesType), empty)
+	for _, c := range []struct {
+		path string
+		body []byte
+		ok   bool
+	}{
+		{wire.HostPathPrefix + "Heartbeat", heartbeat, false},
+		{"/twirp/unknown", heartbeat, false},
+		{wire.StoreRelayPathPrefix + "Commit", nested, true},
+	} {
+		r := httptest.NewRequest(http.MethodPost, c.path, nil)
+		r.Header.Set("Content-Type", "application/protobuf")
+		if err := ingress.CheckMessage(r, c.body); (err == nil) != c.ok {
+			t.Errorf("%s: have %v, want none: %t", c.path, err, c.ok)
+		}
+	}
+}
