zones: what peers say of cordons counts only without the store

A heartbeat needs no credential. A record with a huge revision cordoned any zone for good, and records of invented zones filled the memory of every host. Records of peers are now kept apart: they count while this host cannot read the store, and its next read drops them. They are limited in number and size and to zones that the configuration knows. A host that starts without the store, or is cut off from it, still takes what its peers know.

--- a/internal/host/cordon.go
+++ b/internal/host/cordon.go
@@ -19,6 +19,11 @@
 	h.planner.Wake()
 }
 
+// zoneExists reports whether a zone is this host's or in the configuration.
+func (h *Host) zoneExists(zone string) bool {
+	return zone == h.Settings.GetZone() || h.configuration.Current().Zones[zone] != nil
+}
+
 // plan runs the planner, which must know the cordons before it starts a job.
 func (h *Host) plan(ctx context.Context) error {
 	select {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -192,7 +192,7 @@
 	}
 	h.hostList = wire.NewHostListProtobufClient("http://"+hostSettings.GetHostList(), h.httpClient)
 	h.configuration = &configuration.Configuration{Store: h.store, OnChange: h.rulesChanged}
-	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Log: h.log}
+	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Exists: h.zoneExists, Log: h.log}
 	h.journal = &journal.Journal{Store: h.store, Incarnation: h.incarnation, Writer: h.incarnation}
 	h.dispatcher = h.newDispatcher()
 	h.dispatcher.Prepare(ctx)
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -1,5 +1,6 @@
-// Package zones keeps track of which availability zones are cordoned. The records are in the store. A host
-// also takes them from its peers, so that it knows them when it starts during an outage of the store.
+// Package zones keeps track of which availability zones are cordoned. The records are in the store. While a
+// host cannot read it, the host also takes them from its peers, so that it knows them when it starts during
+// an outage of the store. Peers are not authenticated: the next read of the store replaces what they say.
 package zones
 
 import (
@@ -24,6 +25,9 @@
 	watchTimeout  = 5 * time.Second
 	minWatchRetry = 500 * time.Millisecond
 	maxWatchRetry = 5 * time.Second
+	// maxHeard and maxHeardBytes bound the records that a host keeps of its peers, and the size of each.
+	maxHeard      = 64
+	maxHeardBytes = 1024
 	writeTimeout  = 10 * time.Second
 )
 
@@ -32,7 +36,9 @@
 	Store *store.Store
 	// OnChange is called after a cordon has begun or ended; it may be nil.
 	OnChange func()
-	Log      log.Interface
+	// Exists, if set, reports whether a zone is known here; the records of peers of others are ignored.
+	Exists func(zone string) bool
+	Log    log.Interface
 
 	// merging is held while records are put in force, so that OnChange is called for one change after
 	// the other.
@@ -41,8 +47,11 @@
 	// known is closed when the cordons were first read from the store or heard of a peer.
 	known   chan struct{}
 	isKnown bool
-	// records holds the newest known record of each zone that was ever cordoned.
-	records map[string]*wire.CordonRecord
+	// stored holds the newest record of each zone that was read from the store, and heard those of peers since
+	// the store was last read.
+	stored, heard map[string]*wire.CordonRecord
+	// inContact is set while the last read of the store succeeded.
+	inContact bool
 }
 
 // Known returns a channel that is closed once the cordons are known, from the store or from a peer.
@@ -53,13 +62,21 @@
 	return z.known
 }
 
-// prepare creates the channel and the map if they are missing. The lock is held.
+// prepare creates the channel and the maps if they are missing. The lock is held.
 func (z *Zones) prepare() {
 	if z.known == nil {
-		z.known, z.records = make(chan struct{}), map[string]*wire.CordonRecord{}
+		z.known, z.stored, z.heard = make(chan struct{}), map[string]*wire.CordonRecord{}, map[string]*wire.CordonRecord{}
 	}
 }
 
+// record returns the newest known record of a zone, or nil. The lock is held.
+func (z *Zones) record(zone string) *wire.CordonRecord {
+	if heard := z.heard[zone]; heard.GetRevision() > z.stored[zone].GetRevision() {
+		return heard
+	}
+	return z.stored[zone]
+}
+
 // View returns the records in the order of the zones, also those of lifted cordons; nil until they are
 // known.
 func (z *Zones) View() *wire.CordonsView {
@@ -73,9 +90,13 @@
 
 // sorted returns the records in the order of the zones. The lock is held.
 func (z *Zones) sorted() []*wire.CordonRecord {
-	out := make([]*wire.CordonRecord, 0, len(z.records))
-	for _, zone := range slices.Sorted(maps.Keys(z.records)) {
-		out = append(out, z.records[zone])
+	all := maps.Clone(z.stored)
+	for zone := range z.heard {
+		all[zone] = z.record(zone)
+	}
+	out := make([]*wire.CordonRecord, 0, len(all))
+	for _, zone := range slices.Sorted(maps.Keys(all)) {
+		out = append(out, all[zone])
 	}
 	return out
 }
@@ -91,7 +112,7 @@
 func (z *Zones) Cordon(zone string) *wire.CordonRecord {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if record := z.records[zone]; record != nil && !record.GetLifted() {
+	if record := z.record(zone); record != nil && !record.GetLifted() {
 		return record
 	}
 	return nil
@@ -104,11 +125,12 @@
 	for ctx.Err() == nil {
 		changes, err := z.follow(ctx, after)
 		if err == nil {
-			z.mergeEntries(changes.GetEntries())
+			z.mergeEntries(changes.GetEntries(), true)
 			z.markKnown()
 			retryDelay, after = minWatchRetry, max(after, changes.GetRevision())
 			continue
 		}
+		z.lostContact()
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryDelay):
@@ -127,9 +149,17 @@
 	return z.Store.Watch(ctx, prefix, after, watchTimeout)
 }
 
-// mergeEntries merges records from the store. One that cannot be decoded, or is of another zone than its
+// lostContact records that the store could not be read.
+func (z *Zones) lostContact() {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.inContact = false
+}
+
+// mergeEntries merges records from the store. If they are all the changes to the records that are known
+// here, the records of peers are dropped. One that cannot be decoded, or is of another zone than its
 // key, is logged and ignored.
-func (z *Zones) mergeEntries(entries []*wire.Entry) {
+func (z *Zones) mergeEntries(entries []*wire.Entry, all bool) {
 	var records []*wire.CordonRecord
 	for _, entry := range entries {
 		record := &wire.CordonRecord{}
@@ -140,40 +170,72 @@
 		record.Revision = entry.GetRevision()
 		records = append(records, record)
 	}
-	z.merge(records)
+	z.change(func() {
+		if all {
+			z.inContact = true
+			clear(z.heard)
+		}
+		for _, record := range records {
+			if record.GetRevision() > z.stored[record.GetZone()].GetRevision() {
+				z.stored[record.GetZone()] = record
+			}
+		}
+	})
 }
 
-// MergeView puts the records of a peer in force that are newer than the known ones. It ignores nil, which
-// a peer sends that does not know them.
+// MergeView puts the records of a peer in force that are newer than the known ones, unless this host can
+// read the store itself. It ignores nil, which a peer sends that does not know them, and records that are too
+// large, too many, or of zones that do not exist.
 func (z *Zones) MergeView(view *wire.CordonsView) {
-	if view != nil {
-		z.merge(view.GetCordons())
-		z.markKnown()
+	if view == nil {
+		return
 	}
+	z.change(func() {
+		if z.inContact {
+			return
+		}
+		for _, record := range view.GetCordons() {
+			zone := record.GetZone()
+			_, replaces := z.heard[zone]
+			switch {
+			case record.GetRevision() <= z.record(zone).GetRevision(), proto.Size(record) > maxHeardBytes, !replaces && len(z.heard) >= maxHeard:
+			case z.Exists != nil && !z.Exists(zone):
+			default:
+				z.heard[zone] = record
+			}
+		}
+	})
+	z.markKnown()
 }
 
-// merge puts records in force that are newer than the known ones.
-func (z *Zones) merge(records []*wire.CordonRecord) {
+// change calls apply with the lock held, and logs and reports the cordons that begin and end by it.
+func (z *Zones) change(apply func()) {
 	z.merging.Lock()
 	defer z.merging.Unlock()
-	changed := false
 	z.mu.Lock()
 	z.prepare()
-	for _, record := range records {
-		known := z.records[record.GetZone()]
-		if record.GetRevision() <= known.GetRevision() {
-			continue
-		}
-		z.records[record.GetZone()] = record
-		if lifted := known == nil || known.GetLifted(); lifted == record.GetLifted() {
-			continue
+	before := map[string]bool{}
+	for _, record := range z.sorted() {
+		before[record.GetZone()] = !record.GetLifted()
+	}
+	apply()
+	changed := false
+	for _, record := range z.sorted() {
+		if cordoned := !record.GetLifted(); cordoned != before[record.GetZone()] {
+			changed = true
+			event := "zones: zone cordoned"
+			if !cordoned {
+				event = "zones: zone uncordoned"
+			}
+			z.Log.WithFields(log.Fields{"zone": record.GetZone(), "operator": record.GetOperator(), "at": record.GetAt().AsTime(), "revision": record.GetRevision()}).Info(event)
 		}
-		changed = true
-		event := "zones: zone cordoned"
-		if record.GetLifted() {
-			event = "zones: zone uncordoned"
+		delete(before, record.GetZone())
+	}
+	for zone, cordoned := range before {
+		if cordoned {
+			changed = true
+			z.Log.WithFields(log.Fields{"zone": zone, "cause": "the store has no record of the cordon"}).Info("zones: zone uncordoned")
 		}
-		z.Log.WithFields(log.Fields{"zone": record.GetZone(), "operator": record.GetOperator(), "at": record.GetAt().AsTime(), "revision": record.GetRevision()}).Info(event)
 	}
 	z.mu.Unlock()
 	if changed && z.OnChange != nil {
@@ -227,6 +289,6 @@
 // mergeFound merges an entry unless its key is absent.
 func (z *Zones) mergeFound(found *wire.Entry) {
 	if found.GetRevision() != 0 {
-		z.mergeEntries([]*wire.Entry{found})
+		z.mergeEntries([]*wire.Entry{found}, false)
 	}
 }
