intake: no refusal while another write of the same ID may take effect

A call was refused as not run (429) while another call of the same host still wrote the ID, and (503) on the host that had just answered 504 for it. The key of a call is known from its begin to its end, is looked at again after the read that shows whether the job is stored, and a write that cannot be made has an unknown outcome while another one of the key may still be carried out.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -133,6 +133,9 @@
 	if err := job.Validate(); err != nil {
 		return i.reject(call, err)
 	}
+	key := records.SubmittedKey(job.ID)
+	// Of two calls with one ID, each must know of the other before it is refused.
+	defer i.lateWrites.begin(key)()
 	if fields, refusal := i.refusalByLoad(ctx, start, call, job); refusal != nil {
 		return i.reject(call, refusal, fields)
 	}
@@ -140,7 +143,7 @@
 	if err != nil {
 		return i.reject(call, err)
 	}
-	known, err := i.create(ctx, records.SubmittedKey(job.ID), value)
+	known, err := i.create(ctx, key, value)
 	if err != nil {
 		return i.reject(call, err)
 	}
@@ -148,10 +151,20 @@
 	return nil
 }
 
-// create writes a key unless it exists, and reports whether it existed. It retries failed
-// attempts within writeTimeout. The error is Unavailable only if no attempt can have taken effect,
-// and Ambiguous otherwise.
-func (i *Intake) create(caller context.Context, key string, value []byte) (known bool, err error) {
+// create writes a key unless it exists, and reports whether it existed. The caller has begun it in lateWrites.
+// The error is Unavailable only if neither this call nor another one of this host can have written the key or
+// may still do so, and Ambiguous otherwise.
+func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
+	known, err = i.write(ctx, key, value)
+	if errkind.Unavailable.Is(err) && i.lateWrites.has(time.Now(), key, 1) {
+		err = errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: another call with this ID may still take effect: %s", errkind.Message(err))
+	}
+	return known, err
+}
+
+// write makes the attempts of create. It retries failed ones within writeTimeout. The error is Unavailable
+// only if none of them can have taken effect, and Ambiguous otherwise.
+func (i *Intake) write(caller context.Context, key string, value []byte) (known bool, err error) {
 	trial, err := i.enter(caller)
 	if err != nil {
 		return false, err
@@ -178,7 +191,7 @@
 		failed = failed || caller.Err() == nil
 		if !ambiguous && time.Since(start) > refusedTimeout {
 			i.recordWrite(start, false)
-			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect within 300 ms: %v", err)
+			return false, errkind.Unavailable.New(storeRemedy, "Intake.write: no attempt at the write took effect within 300 ms: %v", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -187,9 +200,9 @@
 			}
 			if ambiguous {
 				i.lateWrites.add(time.Now(), key)
-				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
+				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.write: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
-			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect before the time limit: %v", err)
+			return false, errkind.Unavailable.New(storeRemedy, "Intake.write: no attempt at the write took effect before the time limit: %v", err)
 		case <-time.After(wait):
 		}
 	}
@@ -220,7 +233,9 @@
 	if err != nil {
 		return i.reject(call, err)
 	}
-	known, err := i.create(ctx, records.CancelledKey(call.ID), []byte{1})
+	key := records.CancelledKey(call.ID)
+	defer i.lateWrites.begin(key)()
+	known, err := i.create(ctx, key, []byte{1})
 	if err != nil {
 		return i.reject(call, err)
 	}
--- a/internal/intake/late_writes.go
+++ b/internal/intake/late_writes.go
@@ -13,14 +13,34 @@
 	maxLateWrites = 1000
 )
 
-// lateWrites holds the keys of this host's writes that the store has left unanswered and may still carry out.
+// lateWrites holds the keys that calls of this host write now, and those of writes that the store has left
+// unanswered and may still carry out.
 type lateWrites struct {
-	mu    sync.Mutex
-	since map[string]time.Time
+	mu sync.Mutex
+	// writing counts the calls that may write a key now.
+	writing map[string]int
+	since   map[string]time.Time
 	// droppedAt is when a key was last not kept for lack of space: until lateWriteTime later, each key counts.
 	droppedAt time.Time
 }
 
+// begin records that a call may write a key, until it calls end.
+func (l *lateWrites) begin(key string) (end func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.writing == nil {
+		l.writing = map[string]int{}
+	}
+	l.writing[key]++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.writing[key]--; l.writing[key] == 0 {
+			delete(l.writing, key)
+		}
+	}
+}
+
 // add adds the key of a write that has just been given up.
 func (l *lateWrites) add(now time.Time, key string) {
 	l.mu.Lock()
@@ -38,10 +58,14 @@
 	l.since[key] = now
 }
 
-// has reports whether a write of a key may still be carried out.
-func (l *lateWrites) has(now time.Time, key string) bool {
+// has reports whether a write of a key may still be carried out, besides those of the given number of calls
+// that write it now.
+func (l *lateWrites) has(now time.Time, key string, besides int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.writing[key] > besides {
+		return true
+	}
 	since, known := l.since[key]
 	return (known && now.Sub(since) < lateWriteTime) || now.Sub(l.droppedAt) < lateWriteTime
 }
--- a/internal/intake/overload.go
+++ b/internal/intake/overload.go
@@ -58,23 +58,26 @@
 	return fields, backoff.Attach(err, i.Backoff.After(backoff.Refusal{ID: job.ID, Priority: call.Terms.Priority, Wait: wait, Left: call.left()}))
 }
 
-// maybeStored says why a job may be stored, or become so by an earlier attempt; empty if it is surely not.
+// maybeStored says why a job may be stored, or become so by another call than the one that asks; empty if it is surely not.
 func (i *Intake) maybeStored(ctx context.Context, now time.Time, id string) string {
 	failed := i.breaker.failedAt()
 	if i.StoreFailedAt != nil && i.StoreFailedAt().After(failed) {
 		failed = i.StoreFailedAt()
 	}
-	if now.Sub(failed) < lateWriteTime || i.lateWrites.has(now, records.SubmittedKey(id)) {
-		return "the store may still carry out a write that it did not answer"
+	key, late := records.SubmittedKey(id), "the store may still carry out a write of this host"
+	if now.Sub(failed) < lateWriteTime || i.lateWrites.has(now, key, 1) {
+		return late
 	}
 	ctx, cancel := context.WithTimeout(ctx, knownTimeout)
 	defer cancel()
-	item, err := i.Store.Get(ctx, records.SubmittedKey(id))
+	item, err := i.Store.Get(ctx, key)
 	switch {
 	case err != nil:
 		return "the store did not answer whether the job is stored: " + errkind.Message(err)
 	case item != nil:
 		return "the job is stored"
+	case i.lateWrites.has(time.Now(), key, 1):
+		return late
 	}
 	return ""
 }
