host: a planned stop ends bodies that do not arrive, not calls

Two seconds after the drain a stop cancelled the contexts of all calls, to end the wait for bodies. Requests that had been read whole, such as forwarded ones, lookups, gang submissions and writes of operators, were cut off too. Ingress.StopBodies ends the reading of bodies alone; calls have shutdownTimeout, as before that change.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -103,10 +102,7 @@
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	ends := background.Start(loopsCtx, h.loops()...)
-	callContext, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancelCalls()
 	server := h.ingress.Server(h.handler())
-	server.BaseContext = func(net.Listener) context.Context { return callContext }
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -116,7 +112,7 @@
 	case end := <-ends:
 		return fmt.Errorf("Host.Run: background loop %s ended: %w", end.Name, end.Err)
 	}
-	h.stop(server, cancelCalls)
+	h.stop(server)
 	stopLoops()
 	for end := range ends {
 		h.log.Debugf("background loop %s ended: %v", end.Name, end.Err)
@@ -157,8 +153,8 @@
 // stop ends the host without interrupting an accepted request. It stops reporting ready
 // and publishes that it is leaving. It waits for the time stopNotice, so that load balancers and
 // other hosts stop sending requests, and then for the accepted requests to end. Requests whose bodies
-// have not arrived 2 s later are refused. Last, it gives up the leases of the planner and the host.
-func (h *Host) stop(server *http.Server, cancelCalls context.CancelFunc) {
+// have not arrived 2 s later are refused, and those that were read whole have shutdownTimeout to end. Last, it gives up the leases of the planner and the host.
+func (h *Host) stop(server *http.Server) {
 	h.log.Info("stopping: no longer ready")
 	h.stopping.Store(true)
 	leaveCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
@@ -168,7 +164,7 @@
 	h.log.Info("stopping: waiting for accepted requests to end")
 	close(h.stopPolls)
 	h.dispatcher.Drain(context.Background())
-	defer time.AfterFunc(stopCallTimeout, cancelCalls).Stop()
+	defer time.AfterFunc(stopCallTimeout, h.ingress.StopBodies).Stop()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := server.Shutdown(shutdownCtx); err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,6 +54,9 @@
 	connections connections.Connections
 	// bodies is the memory for the bodies of clients, and innerBodies that for Inner requests.
 	bodies, innerBodies *budget.Budget
+	// stopped is ended by stopBodies.
+	stopped    context.Context
+	stopBodies context.CancelFunc
 	// logged bounds the log lines.
 	logged rate.Sometimes
 }
@@ -66,6 +69,7 @@
 		if i.Inner != nil {
 			i.bodies = i.Limits.Share(1 - innerShare).NewBudget()
 		}
+		i.stopped, i.stopBodies = context.WithCancel(context.Background())
 		i.connections.Max, i.connections.WriteTimeout, i.connections.BytesPerSecond = i.Limits.MaxConnections, i.Limits.WriteTimeout, i.Limits.BytesPerSecond
 		i.connections.Closed = func(state string) { i.count("closed."+state, "") }
 		i.logged.Interval = logInterval
@@ -175,6 +179,23 @@
 	return body, reader.release, nil
 }
 
+// StopBodies refuses all bodies that have not arrived whole, those being read and later ones. Requests that
+// have been read go on.
+func (i *Ingress) StopBodies() {
+	i.prepare()
+	i.stopBodies()
+}
+
+// arrival returns a context that ends with the request's or by StopBodies.
+func (i *Ingress) arrival(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(r.Context())
+	stop := context.AfterFunc(i.stopped, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // refuse has the connection of a request closed after its response, without waiting for its body.
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, limit string) {
 	i.count("refused."+limit, r.RemoteAddr)
@@ -240,7 +261,9 @@
 
 // read reads the body. Its buffer grows with what arrives.
 func (b *bodyReader) read() ([]byte, error) {
-	ctx, begun := b.r.Context(), time.Now()
+	ctx, cancel := b.ingress.arrival(b.r)
+	defer cancel()
+	begun := time.Now()
 	control := http.NewResponseController(b.w)
 	// A stop of the host ends the wait for the rest of a body.
 	stop := context.AfterFunc(ctx, func() { _ = control.SetReadDeadline(time.Now()) })
