relay: a refused call is reported as one without effect

A call that a host refused because of its size or its parts was answered as an invalid argument, which the calling host takes for a write that may have taken effect. Nothing is done for any refused call, so all of them are answered as unavailable.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,13 +19,10 @@
 // MaxCallBytes is the largest body of a call of another host.
 const MaxCallBytes = 4 << 20
 
-// Refuse answers a call of another host whose body has not been read, so that the call has no effect.
+// Refuse answers a call of another host that is not served. The code is Unavailable whatever the cause: it tells
+// the caller that the call had no effect.
 func Refuse(w http.ResponseWriter, _ *http.Request, err error) {
-	code := twirp.Unavailable
-	if !errkind.Unavailable.Is(err) {
-		code = twirp.InvalidArgument
-	}
-	if err := twirp.WriteError(w, twirp.NewError(code, err.Error())); err != nil {
+	if err := twirp.WriteError(w, twirp.NewError(twirp.Unavailable, err.Error())); err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
 }
