workload: sums of estimates cannot overflow

An estimate of up to ten years was accepted, and the critical path of 64 such steps overflowed. Estimates and objectives are at most 30 days, and the estimates along the steps of all occurrences at most 100 years.

--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -20,10 +20,14 @@
 	MaxSteps        = 64
 	// MaxTasks limits the tasks of all occurrences together.
 	MaxTasks = 20000
-	// MaxAmount limits an amount of a resource and MaxTime a duration, so that no sum over MaxTasks tasks
-	// overflows.
+	// MaxAmount limits an amount of a resource, so that no sum over MaxTasks tasks overflows.
 	MaxAmount = 1_000_000_000
-	MaxTime   = 10 * 365 * 24 * time.Hour
+	// MaxTime limits an estimate and an objective, so that no sum over MaxSteps steps overflows.
+	MaxTime = 30 * 24 * time.Hour
+	// maxSpan limits the time between the first and the last occurrence, and maxWork the estimates along the
+	// steps of all occurrences together.
+	maxSpan = 10 * 365 * 24 * time.Hour
+	maxWork = 10 * maxSpan
 	// maxYear is the latest year of a start; records hold times up to the year 9999.
 	maxYear = 9000
 )
@@ -157,9 +161,12 @@
 	if j.RepeatCount > MaxTasks || tasks*j.Occurrences() > MaxTasks || j.RepeatCount < 0 || j.Interval < 0 {
 		return errkind.Invalid.New("split the job, and give no negative repeat count or interval", "Job.Validate: the job has %d tasks in each of %d occurrences, but at most 20000 tasks in all and no negative repeat count or interval are allowed", tasks, j.Occurrences())
 	}
-	if j.RepeatCount > 0 && (j.Interval > MaxTime/time.Duration(j.RepeatCount) || j.FirstDue.Before(time.Unix(0, 0)) || j.FirstDue.Year() > maxYear) {
+	if j.RepeatCount > 0 && (j.Interval > maxSpan/time.Duration(j.RepeatCount) || j.FirstDue.Before(time.Unix(0, 0)) || j.FirstDue.Year() > maxYear) {
 		return errkind.Invalid.New("give a start between the years 1970 and 9000, and a shorter interval", "Job.Validate: got %d occurrences from %s with an interval of %s, but the last has to be due within ten years of the first", j.RepeatCount, j.FirstDue, j.Interval)
 	}
+	if path := j.CriticalPath(); path > maxWork/time.Duration(j.Occurrences()) {
+		return errkind.Invalid.New("split the job", "Job.Validate: the steps of an occurrence take %s by their estimates, but at most 100 years are allowed in all %d occurrences", path, j.Occurrences())
+	}
 	return nil
 }
 
--- a/internal/workload/job_test.go
+++ b/internal/workload/job_test.go
@@ -28,11 +28,14 @@
 		"memory":            func(j *workload.Job) { j.Steps[0].Needs.MemoryMB = math.MaxInt64 },
 		"accelerators":      func(j *workload.Job) { j.Steps[0].Needs.Accelerators = math.MaxInt64 },
 		"estimate":          func(j *workload.Job) { j.Steps[0].Estimate = math.MaxInt64 },
-		"objective":         func(j *workload.Job) { j.Steps[0].LatencyObjective = math.MaxInt64 },
-		"unavailable":       func(j *workload.Job) { j.Steps[0].MaxUnavailable = math.MaxInt },
-		"after":             func(j *workload.Job) { j.Steps[1].After = make([]int, workload.MaxSteps+1) },
-		"interval":          func(j *workload.Job) { j.Interval = math.MaxInt64 },
-		"start":             func(j *workload.Job) { j.FirstDue = time.UnixMilli(math.MaxInt64) },
+		"estimates of repeats": func(j *workload.Job) {
+			j.Steps[0].Estimate, j.RepeatCount, j.Interval = workload.MaxTime, workload.MaxTasks/3, time.Second
+		},
+		"objective":   func(j *workload.Job) { j.Steps[0].LatencyObjective = math.MaxInt64 },
+		"unavailable": func(j *workload.Job) { j.Steps[0].MaxUnavailable = math.MaxInt },
+		"after":       func(j *workload.Job) { j.Steps[1].After = make([]int, workload.MaxSteps+1) },
+		"interval":    func(j *workload.Job) { j.Interval = math.MaxInt64 },
+		"start":       func(j *workload.Job) { j.FirstDue = time.UnixMilli(math.MaxInt64) },
 	} {
 		job := valid()
 		change(job)
@@ -41,3 +44,21 @@
 		}
 	}
 }
+
+// Guards against: the estimates of a valid job overflow when they are added up.
+func TestCriticalPathDoesNotOverflow(t *testing.T) {
+	job := &workload.Job{}
+	for i := range workload.MaxSteps {
+		step := workload.Step{Count: 1, Estimate: workload.MaxTime}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		job.Steps = append(job.Steps, step)
+	}
+	if err := job.Validate(); err != nil {
+		t.Errorf("the largest estimates: have %v, want no error", err)
+	}
+	if have := job.CriticalPath(); have != workload.MaxSteps*workload.MaxTime {
+		t.Errorf("CriticalPath: have %s, want %s", have, workload.MaxSteps*workload.MaxTime)
+	}
+}
