ingress: clients that disconnect are not counted as slow

A client that closed its connection while it sent a body counted as refused.bodyTime and was logged as if a limit had acted. Only bodies whose time has ended count, by the limit or by a stop.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -196,9 +197,14 @@
 	}
 }
 
-// refuse has the connection of a request closed after its response, without waiting for its body.
+// refuse counts the refusal of a request and ends it.
 func (i *Ingress) refuse(w http.ResponseWriter, r *http.Request, limit string) {
 	i.count("refused."+limit, r.RemoteAddr)
+	i.end(w, r)
+}
+
+// end has the connection of a request closed after its response, without waiting for its body.
+func (i *Ingress) end(w http.ResponseWriter, r *http.Request) {
 	if connection, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
 		i.connections.Refused(connection)
 	}
@@ -333,8 +339,13 @@
 	return b.ingress.Limits.BodyGrace + time.Duration(float64(arrived)/float64(b.ingress.Limits.BytesPerSecond)*float64(time.Second))
 }
 
-// late refuses a body that did not arrive whole.
+// late refuses a body that did not arrive whole. Only if its time has ended has a limit acted: otherwise the
+// client has closed the connection or sent a malformed body.
 func (b *bodyReader) late(cause error) error {
-	b.ingress.refuse(b.w, b.r, "bodyTime")
+	if errors.Is(cause, os.ErrDeadlineExceeded) || errors.Is(cause, context.Canceled) {
+		b.ingress.refuse(b.w, b.r, "bodyTime")
+	} else {
+		b.ingress.end(b.w, b.r)
+	}
 	return errkind.Unavailable.New(refusalRemedy, "Ingress.ReadBody: the body did not arrive whole and in time, and nothing was written: %v", cause)
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -55,3 +56,19 @@
 		t.Errorf("Shutdown: %v", err)
 	}
 }
+
+// Guards against: clients that disconnect while they send count as refused for the time of their bodies.
+func TestDisconnectedClientsAreNotCounted(t *testing.T) {
+	address, registry := serve(t, limits())
+	conn := send(t, address, post(100, "x"))
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if have, err := status(conn); have != http.StatusServiceUnavailable {
+		t.Errorf("have status %d, %v, want 503", have, err)
+	}
+	if counted := metrics.GetOrRegisterCounter("ingress.l.refused.bodyTime", registry).Count(); counted != 0 {
+		t.Errorf("refused.bodyTime: have %d, want 0", counted)
+	}
+	stop[address]()
+}
