--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"fmt"
 	mathrand "math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -88,7 +87,7 @@
 // otherwise the error that ended the server or a background loop.
 func (h *Host) Run(ctx context.Context) error {
 	h.registry = metrics.NewRegistry()
-	h.ingress = &ingress.Ingress{Name: "host", Limits: ingressLimits(h.Settings), Metrics: h.registry, Log: log.Log}
+	h.ingress = &ingress.Ingress{Name: "host", Limits: ingressLimits(h.Settings), Inner: isInner, Metrics: h.registry, Log: log.Log}
 	listener, err := h.ingress.Listen(h.Settings.GetListen())
 	if err != nil {
 		return errkind.Invalid.New("set listen to a free address of this host", "Host.Run: cannot listen: %v", err)
@@ -103,10 +102,7 @@
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	ends := background.Start(loopsCtx, h.loops()...)
-	callContext, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancelCalls()
 	server := h.ingress.Server(h.handler())
-	server.BaseContext = func(net.Listener) context.Context { return callContext }
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	select {
@@ -116,7 +112,7 @@
 	case end := <-ends:
 		return fmt.Errorf("Host.Run: background loop %s ended: %w", end.Name, end.Err)
 	}
-	h.stop(server, cancelCalls)
+	h.stop(server)
 	stopLoops()
 	for end := range ends {
 		h.log.Debugf("background loop %s ended: %v", end.Name, end.Err)
@@ -157,8 +153,8 @@
 // stop ends the host without interrupting an accepted request. It stops reporting ready
 // and publishes that it is leaving. It waits for the time stopNotice, so that load balancers and
 // other hosts stop sending requests, and then for the accepted requests to end. Requests whose bodies
-// have not arrived 2 s later are refused. Last, it gives up the leases of the planner and the host.
-func (h *Host) stop(server *http.Server, cancelCalls context.CancelFunc) {
+// have not arrived 2 s later are refused, and those that were read whole have shutdownTimeout to end. Last, it gives up the leases of the planner and the host.
+func (h *Host) stop(server *http.Server) {
 	h.log.Info("stopping: no longer ready")
 	h.stopping.Store(true)
 	leaveCtx, cancel := context.WithTimeout(context.Background(), stopCallTimeout)
@@ -168,7 +164,7 @@
 	h.log.Info("stopping: waiting for accepted requests to end")
 	close(h.stopPolls)
 	h.dispatcher.Drain(context.Background())
-	defer time.AfterFunc(stopCallTimeout, cancelCalls).Stop()
+	defer time.AfterFunc(stopCallTimeout, h.ingress.StopBodies).Stop()
 	shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := server.Shutdown(shutdownCtx); err != nil {
@@ -192,7 +188,7 @@
 	}
 	h.hostList = wire.NewHostListProtobufClient("http://"+hostSettings.GetHostList(), h.httpClient)
 	h.configuration = &configuration.Configuration{Store: h.store, OnChange: h.rulesChanged}
-	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Log: h.log}
+	h.zones = &zones.Zones{Store: h.store, OnChange: h.cordonsChanged, Exists: h.zoneExists, Log: h.log}
 	h.journal = &journal.Journal{Store: h.store, Incarnation: h.incarnation, Writer: h.incarnation}
 	h.dispatcher = h.newDispatcher()
 	h.dispatcher.Prepare(ctx)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -137,6 +137,9 @@
 	if err := job.Validate(); err != nil {
 		return i.reject(call, err)
 	}
+	key := records.SubmittedKey(job.ID)
+	// Of two calls with one ID, each must know of the other before it is refused.
+	defer i.lateWrites.begin(key)()
 	if fields, refusal := i.refusalByLoad(ctx, start, call, job); refusal != nil {
 		return i.reject(call, refusal, fields)
 	}
@@ -144,7 +147,7 @@
 	if err != nil {
 		return i.reject(call, err)
 	}
-	known, err := i.create(ctx, records.SubmittedKey(job.ID), value)
+	known, err := i.create(ctx, key, value)
 	if err != nil {
 		return i.reject(call, err)
 	}
@@ -152,10 +155,17 @@
 	return nil
 }
 
-// create writes a key unless it exists, and reports whether it existed. It retries failed
-// attempts within writeTimeout. The error is Unavailable only if no attempt can have taken effect,
-// and Ambiguous otherwise.
-func (i *Intake) create(caller context.Context, key string, value []byte) (known bool, err error) {
+// create writes a key unless it exists, and reports whether it existed. The caller has begun it in lateWrites.
+// The error is Unavailable only if neither this call nor another one of this host can have written the key or
+// may still do so, and Ambiguous otherwise.
+func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
+	known, err = i.write(ctx, key, value)
+	return known, i.doubt(key, err, 1)
+}
+
+// write makes the attempts of create. It retries failed ones within writeTimeout. The error is Unavailable
+// only if none of them can have taken effect, and Ambiguous otherwise.
+func (i *Intake) write(caller context.Context, key string, value []byte) (known bool, err error) {
 	trial, err := i.enter(caller)
 	if err != nil {
 		return false, err
@@ -182,7 +192,7 @@
 		failed = failed || caller.Err() == nil
 		if !ambiguous && time.Since(start) > refusedTimeout {
 			i.recordWrite(start, false)
-			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect within 300 ms: %v", err)
+			return false, errkind.Unavailable.New(storeRemedy, "Intake.write: no attempt at the write took effect within 300 ms: %v", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -191,9 +201,9 @@
 			}
 			if ambiguous {
 				i.lateWrites.add(time.Now(), key)
-				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.create: the store did not confirm the write in time, and it may have taken effect: %v", err)
+				return false, errkind.Ambiguous.New("send the call again with the same ID", "Intake.write: the store did not confirm the write in time, and it may have taken effect: %v", err)
 			}
-			return false, errkind.Unavailable.New(storeRemedy, "Intake.create: no attempt at the write took effect before the time limit: %v", err)
+			return false, errkind.Unavailable.New(storeRemedy, "Intake.write: no attempt at the write took effect before the time limit: %v", err)
 		case <-time.After(wait):
 		}
 	}
@@ -291,8 +301,20 @@
 	return max(time.Until(c.Deadline), time.Millisecond)
 }
 
-// Refuse counts and logs a call that its handler refuses, and returns err.
-func (i *Intake) Refuse(call Call, err error) error { return i.reject(call, err) }
+// Refuse counts and logs a submission that its handler refuses before it is decoded, and returns the error to
+// answer: err or, if the job was not accepted but an earlier call with its ID may still take effect, Ambiguous.
+func (i *Intake) Refuse(call Call, err error) error {
+	return i.reject(call, i.doubt(records.SubmittedKey(call.ID), err, 0))
+}
+
+// doubt turns an Unavailable error for a key into Ambiguous if another call of this host may still write the
+// key. Besides is 1 if the call itself is counted as writing it, otherwise 0.
+func (i *Intake) doubt(key string, err error, besides int) error {
+	if errkind.Unavailable.Is(err) && i.lateWrites.has(time.Now(), key, besides) {
+		return errkind.Ambiguous.New("send the call again with the same ID", "Intake.doubt: another call with this ID may still take effect: %s", errkind.Message(err))
+	}
+	return err
+}
 
 // logAnswer counts and logs an answered call and records its latency in milliseconds.
 func (i *Intake) logAnswer(call Call, event string, start time.Time, more log.Fields) {
