Clearer names, comments and docs of the work on hard load

Names: the circuit breaker of internal/intake probes the store ("trial" is a run on a target on probation); Scheduler.TargetsToReport in place of SilentTargets, since "silent" means targets that are handed over; minReportedShare in place of warmShare, since a warm target is one that is not cold; time limits in place of "patience"; maxUrgentPriority.

The expiry in internal/overload comes from internal/policy, which had the same rule.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -16,10 +16,10 @@
 )
 
 const (
-	// defaultPatience is assumed of callers that don't say how long they wait.
-	defaultPatience = 3 * time.Second
+	// defaultTimeLeft is assumed of callers that don't say how long they wait.
+	defaultTimeLeft = 3 * time.Second
 	// retries is the number of times that callers return before they give up. Delays of the same
-	// fraction of the caller's patience let the last return fall into it.
+	// fraction of the time that the caller still waits let the last return fall into it.
 	retries = 4
 	// maxUnknown bounds the delay while the wait is unknown, so that its whole seconds are one second:
 	// an outage is noticed to have ended only by those who return.
@@ -79,23 +79,23 @@
 	if longest <= 0 {
 		longest = DefaultMax
 	}
-	patience := refusal.Left
-	if patience <= 0 {
-		patience = defaultPatience
+	timeLeft := refusal.Left
+	if timeLeft <= 0 {
+		timeLeft = defaultTimeLeft
 	}
 	span := refusal.Wait
 	if span <= 0 {
-		span = min(patience/retries, maxUnknown)
+		span = min(timeLeft/retries, maxUnknown)
 	}
 	span = min(max(span, shortest), longest)
 	base := min(urgentPart+priorityPart*float64(max(refusal.Priority, 0)), lowestPart)
-	exact := min(max(time.Duration((base+jitterPart*hash)*float64(span)), shortest), patience/2)
+	exact := min(max(time.Duration((base+jitterPart*hash)*float64(span)), shortest), timeLeft/2)
 	// The whole seconds have to leave time for the call too.
-	if latest := (patience - minCallTime).Truncate(time.Second); latest >= time.Second {
+	if latest := (timeLeft - minCallTime).Truncate(time.Second); latest >= time.Second {
 		exact = min(exact, latest)
 	}
 	seconds := int(math.Ceil(exact.Seconds()))
-	if time.Duration(seconds)*time.Second+minCallTime > patience {
+	if time.Duration(seconds)*time.Second+minCallTime > timeLeft {
 		seconds = int(exact.Seconds())
 	}
 	return Delay{Exact: exact, Seconds: seconds}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -282,7 +282,7 @@
 	metrics.GetOrRegisterGauge("target.suspect", s.Metrics).Update(int64(s.plan.SuspectTargets()))
 	metrics.GetOrRegisterGauge("target.cold", s.Metrics).Update(int64(s.plan.ColdTargets(now)))
 	metrics.GetOrRegisterGauge("target.onProbation", s.Metrics).Update(int64(s.plan.TargetsOnProbation()))
-	for _, id := range s.plan.SilentTargets(now) {
+	for _, id := range s.plan.TargetsToReport(now) {
 		notify(s.agent(id).renewSignal)
 	}
 	if s.plan.HandoverChanged(now) {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -136,7 +136,7 @@
 		if !wanted || status.Unresponsive || status.Withheld {
 			s.mu.Unlock()
 			if wanted {
-				a.holdBack(ctx, start, "the target leaves renewals unanswered, or did so last that a successor knows")
+				a.holdBack(ctx, start, "the target leaves renewals unanswered, or the record for a successor lists it")
 			}
 			return
 		}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -50,8 +50,8 @@
 	// CordonTime is how long after the request for a cordon was acknowledged starts in its zone have to
 	// have ended; 0 if there is no such bound.
 	CordonTime time.Duration
-	// ColdOverage is how many times as much work as a warm target a cold one is given at most, and
-	// ColdSlack how many tasks more; 0 if targets are never cold.
+	// ColdOverage is how many times as many tasks as warm targets have on average a cold one is given at
+	// most, and ColdSlack how many tasks more; 0 if targets are never cold.
 	ColdOverage float64
 	ColdSlack   int
 	// MaxDescriptors is the limit of open descriptors of the process; 0 if it is not known.
--- a/internal/intake/breaker.go
+++ b/internal/intake/breaker.go
@@ -10,67 +10,67 @@
 )
 
 const (
-	// trialInterval is the time after a failed trial in which writes are refused at once.
-	trialInterval = 100 * time.Millisecond
-	// A trial sends up to trialReads reads, one each trialReadPeriod, until one is answered, so that it
-	// also notices a store that returns during the trial. It ends early after refusedReads reads that the
+	// probeInterval is the time after a failed probe in which writes are refused at once.
+	probeInterval = 100 * time.Millisecond
+	// A probe sends up to probeReads reads, one each probeReadPeriod, until one is answered, so that it
+	// also notices a store that returns during the probe. It ends early after refusedReads reads that the
 	// store has refused.
-	trialReads      = 3
-	trialReadPeriod = 200 * time.Millisecond
+	probeReads      = 3
+	probeReadPeriod = 200 * time.Millisecond
 	refusedReads    = 2
 )
 
 // breaker is a circuit breaker for writes. It opens when a write fails. While it is open, or the store is
-// in doubt for another reason, one call at a time tries the store, and the others wait for the outcome. A
-// trial begins with a read, so that a call that the store does not answer is known to have written
+// in doubt for another reason, one call at a time probes the store, and the others wait for the outcome. A
+// probe begins with a read, so that a call that the store does not answer is known to have written
 // nothing.
 type breaker struct {
 	mu   sync.Mutex
 	open bool
-	// failed is when the last trial or write failed, and answered when the last write that the store
+	// failed is when the last probe or write failed, and answered when the last write that the store
 	// answered was sent.
 	failed   time.Time
 	answered time.Time
-	// trial is closed when the trial in progress ends; nil if there is none.
-	trial chan struct{}
+	// probe is closed when the probe in progress ends; nil if there is none.
+	probe chan struct{}
 }
 
-// admission is what the breaker lets a call do.
-type admission int
+// decision is what the breaker lets a call do.
+type decision int
 
 const (
 	// admitWrite: the call may write.
-	admitWrite admission = iota
-	// admitTrial: the call has to try the store first, and to call endTrial afterwards.
-	admitTrial
-	// awaitTrial: the call has to wait for the end of a trial and then ask again.
-	awaitTrial
+	admitWrite decision = iota
+	// admitProbe: the call has to probe the store first, and to call endProbe afterwards.
+	admitProbe
+	// awaitProbe: the call has to wait for the end of a probe and then ask again.
+	awaitProbe
 	// refuseWrite: the call must not write.
 	refuseWrite
 )
 
-// admit decides on a call at a time. The channel, for awaitTrial, is closed when the trial ends.
-func (b *breaker) admit(now time.Time, inDoubt bool) (admission, <-chan struct{}) {
+// admit decides on a call at a time. The channel, for awaitProbe, is closed when the probe ends.
+func (b *breaker) admit(now time.Time, inDoubt bool) (decision, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case !b.open && (!inDoubt || now.Sub(b.answered) < trialInterval):
+	case !b.open && (!inDoubt || now.Sub(b.answered) < probeInterval):
 		return admitWrite, nil
-	case b.trial != nil:
-		return awaitTrial, b.trial
-	case now.Sub(b.failed) < trialInterval:
+	case b.probe != nil:
+		return awaitProbe, b.probe
+	case now.Sub(b.failed) < probeInterval:
 		return refuseWrite, nil
 	}
-	b.trial = make(chan struct{})
-	return admitTrial, nil
+	b.probe = make(chan struct{})
+	return admitProbe, nil
 }
 
-// endTrial lets the calls go on that wait for the trial.
-func (b *breaker) endTrial() {
+// endProbe lets the calls go on that wait for the probe.
+func (b *breaker) endProbe() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	close(b.trial)
-	b.trial = nil
+	close(b.probe)
+	b.probe = nil
 }
 
 // record closes the breaker if the store answered a write that was sent at a time, and opens it if not.
@@ -92,22 +92,22 @@
 	return changed
 }
 
-// failedAt returns when a trial or a write last failed.
+// failedAt returns when a probe or a write last failed.
 func (b *breaker) failedAt() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.failed
 }
 
-// enter waits until the breaker lets a call write, and reports whether the call has to try the store
+// enter waits until the breaker lets a call write, and reports whether the call has to probe the store
 // first. The error is Unavailable.
-func (i *Intake) enter(ctx context.Context) (trial bool, err error) {
+func (i *Intake) enter(ctx context.Context) (probe bool, err error) {
 	for {
-		decision, trialEnd := i.breaker.admit(time.Now(), i.StoreFailing != nil && i.StoreFailing())
-		switch decision {
+		decided, probeEnd := i.breaker.admit(time.Now(), i.StoreFailing != nil && i.StoreFailing())
+		switch decided {
 		case admitWrite:
 			return false, nil
-		case admitTrial:
+		case admitProbe:
 			return true, nil
 		case refuseWrite:
 			return false, errkind.Unavailable.New(storeRemedy, "Intake.enter: the store did not answer within the last 100 ms")
@@ -115,7 +115,7 @@
 		select {
 		case <-ctx.Done():
 			return false, errkind.Unavailable.New(storeRemedy, "Intake.enter: the time limit was reached while another call tried the store")
-		case <-trialEnd:
+		case <-probeEnd:
 		}
 	}
 }
@@ -129,14 +129,14 @@
 		item *keyvalue.Item
 		err  error
 	}
-	answers := make(chan answer, trialReads)
+	answers := make(chan answer, probeReads)
 	start, refused, lastErr := time.Now(), 0, error(nil)
-	for range trialReads {
+	for range probeReads {
 		go func() {
 			item, err := i.Store.Get(ctx, key)
 			answers <- answer{item, err}
 		}()
-		next := time.After(trialReadPeriod)
+		next := time.After(probeReadPeriod)
 		for next != nil {
 			select {
 			case <-next:
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -156,12 +156,12 @@
 // attempts within writeTimeout. The error is Unavailable only if no attempt can have taken effect,
 // and Ambiguous otherwise.
 func (i *Intake) create(caller context.Context, key string, value []byte) (known bool, err error) {
-	trial, err := i.enter(caller)
+	probe, err := i.enter(caller)
 	if err != nil {
 		return false, err
 	}
-	if trial {
-		defer i.breaker.endTrial()
+	if probe {
+		defer i.breaker.endProbe()
 		if item, err := i.tryStore(caller, key); err != nil || item != nil {
 			return item != nil, err
 		}
--- a/internal/intake/outage_test.go
+++ b/internal/intake/outage_test.go
@@ -164,7 +164,7 @@
 // Guards against refusals while the store takes writes again: only the first call has to find that out,
 // and those that arrive meanwhile wait for it. A store that has become slow must not be taken for one
 // that is down.
-func TestCallsDuringATrialAreNotRefused(t *testing.T) {
+func TestCallsDuringAProbeAreNotRefused(t *testing.T) {
 	for _, latency := range []time.Duration{0, 400 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			store := &batchstore.Store{}
--- a/internal/overload/policy.go
+++ b/internal/overload/policy.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/load"
+	"github.com/eelgrasstide/eelgrasstide/internal/policy"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
@@ -98,13 +99,13 @@
 	return job.RepeatCount > 0
 }
 
-// endsTooLate reports whether the job would end after its expiry, which is its objective times the queue's
-// stretch factor, if it began after the expected wait and no step had to wait again.
+// endsTooLate reports whether the job would end after its expiry if it began after the expected wait and no
+// step had to wait again.
 func endsTooLate(job *workload.Job, queue load.Queue) bool {
 	path := time.Duration(float64(job.CriticalPath()) * queue.EstimateRatio)
 	objective := time.Duration(job.AcceptedTerms.StretchFactor*float64(path)) + job.AcceptedTerms.RuntimeObjective
-	expiry := time.Duration(max(job.AcceptedTerms.StretchFactor, 1) * float64(objective))
-	return objective > 0 && queue.ExpectedWait+path > expiry
+	lateness := policy.NewLateness(objective, job.AcceptedTerms.StretchFactor)
+	return objective > 0 && queue.ExpectedWait+path > lateness.Expiry
 }
 
 // isOverused reports whether an organisation uses more than maxOveruse times its share while others wait.
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// headroomMemory is the time constant with which the demand of priority 0 is learned and forgotten.
-	headroomMemory = 4 * time.Second
+	// urgentDemandTime is the time constant with which the demand of priority 0 is learned and forgotten.
+	urgentDemandTime = 4 * time.Second
 	// headroomTime is how long the demand lasts for which room is kept: stops and ends of runs make room
 	// for what arrives later.
 	headroomTime = time.Second
 	// maxHeadroomShare is the largest share of a service's capacity that is kept free.
 	maxHeadroomShare = 0.1
-	// headroomPatience is how long a step of which nothing runs leaves the headroom alone.
-	headroomPatience = 5 * time.Second
+	// maxHeadroomWait is how long a step of which nothing runs waits before it may use the headroom.
+	maxHeadroomWait = 5 * time.Second
 	// headroomLogInterval limits the log of what is kept.
 	headroomLogInterval = time.Second
 )
@@ -32,12 +32,12 @@
 
 // until returns the demand decayed to a later time.
 func (d urgentDemand) until(now time.Time) urgentDemand {
-	d.amount, d.at = d.amount*math.Exp(-now.Sub(d.at).Seconds()/headroomMemory.Seconds()), now
+	d.amount, d.at = d.amount*math.Exp(-now.Sub(d.at).Seconds()/urgentDemandTime.Seconds()), now
 	return d
 }
 
 // perSecond returns the mean demand in shares of a target.
-func (d urgentDemand) perSecond() float64 { return d.amount / headroomMemory.Seconds() }
+func (d urgentDemand) perSecond() float64 { return d.amount / urgentDemandTime.Seconds() }
 
 // recordUrgentDemand records what the steps of priority 0 ask for that can start for the first time.
 func (s *Scheduler) recordUrgentDemand(now time.Time, candidates []*candidate) {
@@ -112,5 +112,5 @@
 // itself, or has waited for long while nothing of its step runs.
 func (p *pass) usesHeadroom(c *candidate) bool {
 	st := c.step
-	return st.job.terms.Priority == 0 || (st.idleUnits == st.unitsLeft && p.now.Sub(st.occurrence.due) >= headroomPatience)
+	return st.job.terms.Priority == 0 || (st.idleUnits == st.unitsLeft && p.now.Sub(st.occurrence.due) >= maxHeadroomWait)
 }
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -70,7 +70,7 @@
 	tooLarge.Gang = true
 	f.submit("too large", "urgent", tooLarge)
 	if used := f.step(4 * time.Second); used != 0 {
-		t.Errorf("before its patience has ended: have %d accelerators used, want none", used)
+		t.Errorf("before maxHeadroomWait: have %d accelerators used, want none", used)
 	}
 	if used := f.step(1500 * time.Millisecond); used != 8 {
 		t.Errorf("gang that has waited for long: have %d accelerators used, want 8", used)
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// warmShare is the share of the listed targets that have to have reported before the load is known. It
-	// is below the part of the targets that is left when one of three availability zones is cut off.
-	warmShare = 0.6
+	// minReportedShare is the share of the listed targets that have to have reported before the load is known.
+	// It is below the part of the targets that is left when one of three availability zones is cut off.
+	minReportedShare = 0.6
 	// shortageGap is the time without a digest after which shortages are no longer known to have lasted.
 	shortageGap = 4 * time.Second
-	// minUrgentPriority is the lowest priority number whose jobs don't stop runs of other priorities.
-	minUrgentPriority = 1
+	// maxUrgentPriority is the highest priority number whose jobs may have runs of other jobs stopped.
+	maxUrgentPriority = 0
 )
 
 // loadState is what the scheduler keeps from one digest of the load to the next.
@@ -99,7 +99,7 @@
 		size.Largest = largest
 		d.Services[name] = size
 	}
-	d.Warm = listed > 0 && float64(reported) >= warmShare*float64(listed)
+	d.Warm = listed > 0 && float64(reported) >= minReportedShare*float64(listed)
 	return pools
 }
 
@@ -183,7 +183,7 @@
 		if lastBefore[queue] != i || !waits || pools[service] == nil {
 			continue
 		}
-		entry.ExpectedWait = pools[service].wait(before, c.step.job.terms.Priority < minUrgentPriority)
+		entry.ExpectedWait = pools[service].wait(before, c.step.job.terms.Priority <= maxUrgentPriority)
 		if entry.ExpectedWait > c.step.job.objective {
 			since, known := s.load.shortSince[queue]
 			if !known {
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -374,9 +374,9 @@
 	return !n.contacted || n.suspect || n.unresponsive(now)
 }
 
-// SilentTargets returns the IDs of the targets that have not reported to this planner yet, or are
+// TargetsToReport returns the IDs of the targets that have not reported to this planner yet, or are
 // suspect or unresponsive, in order.
-func (s *Scheduler) SilentTargets(now time.Time) []string {
+func (s *Scheduler) TargetsToReport(now time.Time) []string {
 	var out []string
 	for _, n := range s.ordered {
 		if n.needsReport(now) {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -48,7 +48,7 @@
 	use := st.spec.CapacityUse()
 	p.organisations[st.job.Organisation] = p.organisations[st.job.Organisation].Plus(use)
 	to := &p.others
-	if st.job.terms.Priority < minUrgentPriority {
+	if st.job.terms.Priority <= maxUrgentPriority {
 		to = &p.urgent
 	}
 	to.used.add(amountsOf(use), 1)
@@ -88,7 +88,7 @@
 	return longest
 }
 
-// waitFor returns the same for one of the amounts, of which some is free now. What is given to the demand
+// waitFor returns that time for one of the amounts, of which some is free now. What is given to the demand
 // becomes free again after its mean duration.
 func (p *pool) waitFor(d *demand, i int, free float64, urgent bool) time.Duration {
 	left := d.amounts[i]
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -160,52 +160,16 @@
 // not fit even then. Runs that are expected to end within wait count as ended; no others are stopped if
 // mayStop is false.
 func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int, wait time.Duration, mayStop bool) *preemption {
-	type option struct {
-		n          *freeCapacity
-		victims    []victim
-		rank       float64
-		maxMembers int
-	}
-	var options []option
+	var options []clearOption
 	for _, n := range openNodes {
 		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
 			continue
 		}
-		free := n.free
-		o := option{n: n}
-		limit := count
-		if c.step.spec.MaxPerTarget > 0 {
-			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
-		}
-		// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
-		until := p.now.Add(wait)
-		for _, m := range n.sorted {
-			if !m.stopDecided.IsZero() || p.endsBy(m.unit, until) {
-				free = free.Plus(m.unit.step.spec.CapacityUse())
-			}
-		}
-		o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit)
-		if o.maxMembers == 0 && mayStop {
-			for _, v := range p.victims(n) {
-				if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
-					continue
-				}
-				o.victims, o.rank = append(o.victims, v), o.rank+v.rank
-				for _, m := range v.unit.members {
-					if m.node == n.node {
-						free = free.Plus(v.unit.step.spec.CapacityUse())
-					}
-				}
-				if o.maxMembers = n.countFitting(c.step.spec.CapacityUse(), free, limit); o.maxMembers > 0 {
-					break
-				}
-			}
-		}
-		if o.maxMembers > 0 {
+		if o := p.clearTarget(c, n, count, p.now.Add(wait), mayStop); o.maxMembers > 0 {
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int {
+	slices.SortStableFunc(options, func(a, b clearOption) int {
 		return cmp.Or(cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)), cmp.Compare(b.maxMembers, a.maxMembers))
 	})
 	found := &preemption{}
@@ -235,6 +199,50 @@
 	return found
 }
 
+// clearOption is a target with the runs to stop there for a candidate.
+type clearOption struct {
+	n       *freeCapacity
+	victims []victim
+	// rank is the sum of the victims' ranks.
+	rank float64
+	// maxMembers is how many tasks of the candidate then fit there.
+	maxMembers int
+}
+
+// clearTarget finds the runs to stop on one target so that at least one of count tasks fits there. Runs that
+// are expected to end by until count as ended.
+func (p *pass) clearTarget(c *candidate, n *freeCapacity, count int, until time.Time, mayStop bool) clearOption {
+	use, free, limit := c.step.spec.CapacityUse(), n.free, count
+	if c.step.spec.MaxPerTarget > 0 {
+		limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
+	}
+	// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
+	for _, m := range n.sorted {
+		if !m.stopDecided.IsZero() || p.endsBy(m.unit, until) {
+			free = free.Plus(m.unit.step.spec.CapacityUse())
+		}
+	}
+	o := clearOption{n: n, maxMembers: n.countFitting(use, free, limit)}
+	if o.maxMembers != 0 || !mayStop {
+		return o
+	}
+	for _, v := range p.victims(n) {
+		if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
+			continue
+		}
+		o.victims, o.rank = append(o.victims, v), o.rank+v.rank
+		for _, m := range v.unit.members {
+			if m.node == n.node {
+				free = free.Plus(v.unit.step.spec.CapacityUse())
+			}
+		}
+		if o.maxMembers = n.countFitting(use, free, limit); o.maxMembers > 0 {
+			break
+		}
+	}
+	return o
+}
+
 // victims returns the units on a target in the order of the loss that stopping them costs, the
 // cheapest first.
 func (p *pass) victims(n *freeCapacity) []victim {
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -15,9 +15,9 @@
 	usualFailureRate               = 0.03
 	usualRuns                      = 50
 	minFailureRate, maxFailureRate = 0.01, 0.4
-	// trialEvidence is the evidence, as a logarithm of odds, from which a target is on probation: it outweighs
-	// that of some 70 targets one is faulty. Two failures in a row reach it, unless much fails everywhere.
-	// maxEvidence bounds what later ends and the time have to undo; passedEvidence is what is left at most after
+	// trialEvidence is the evidence, as a logarithm of odds, from which a target is on probation. At the usual
+	// failure rate two failures in a row reach it, and one does not.
+	// maxEvidence bounds the evidence, so that successes and decay can undo it; passedEvidence is what is left at most after
 	// a trial was passed, so that the next failure is enough for another probation.
 	trialEvidence  = 4.2
 	maxEvidence    = 6
@@ -56,7 +56,7 @@
 
 func (d *decaying) set(now time.Time, value float64) { d.value, d.at = value, now }
 
-// probation is what is held against a target.
+// probation is the evidence of faults of a target, and the restrictions that follow.
 type probation struct {
 	// evidence is the logarithm of the odds that the target is faulty, compared with any other target.
 	evidence decaying
@@ -70,7 +70,7 @@
 	trial       target.Run
 }
 
-// failureRate measures the fraction of the runs that fail on targets that nothing is held against.
+// failureRate measures the fraction of the runs that fail, without failures on targets that are doubted.
 type failureRate struct{ ended, failed decaying }
 
 func (r *failureRate) add(now time.Time, failed bool) {
@@ -179,8 +179,8 @@
 	j.failedOn[id] = true
 }
 
-// blameStall blames the targets of a stalled run. All members of a gang stall when one does, so they share the
-// blame by what is held against them already.
+// blameStall blames the targets of a stalled run. All members of a gang stall when one does, so
+// the evidence against each is that it caused the stall and none of the others did.
 func (s *Scheduler) blameStall(now time.Time, u *unit) {
 	nodes := u.nodes()
 	total := 0.0
@@ -244,7 +244,7 @@
 const (
 	// unrestricted: any.
 	unrestricted restriction = iota
-	// singlesOnly: single tasks of priorities below 0.
+	// singlesOnly: single tasks of other priorities than 0.
 	singlesOnly
 	// trialsOnly: one trial at a time.
 	trialsOnly
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -40,7 +40,7 @@
 	// Used and Fair are its part of the use by all organisations that compete, and the part that it may use
 	// while others wait; 0 if it does not compete.
 	Used, Fair float64
-	// Factor is by how much its work is preferred.
+	// Factor is by how much its work is preferred, before the bound of shareFactor.
 	Factor float64
 }
 
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -38,7 +38,7 @@
 	// the other.
 	merging sync.Mutex
 	mu      sync.Mutex
-	// known is closed when the cordons were first read from the store or heard of a peer.
+	// known is closed when the cordons were first read from the store or received from a peer.
 	known   chan struct{}
 	isKnown bool
 	// records holds the newest known record of each zone that was ever cordoned.
