--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -82,11 +82,15 @@
 // may plan, or come to plan, and it obeys only the mark that binds any submission: that is written too, unless
 // the store has the job of another organisation. The errors are those of create.
 func (i *Intake) writeCancellation(ctx context.Context, call Call, bindAny bool) (known bool, err error) {
-	known, err = i.create(ctx, records.CancellationBy(call.ID, call.Organisation).Key(), []byte{1})
+	key := records.CancellationBy(call.ID, call.Organisation).Key()
+	defer i.lateWrites.begin(key)()
+	known, err = i.create(ctx, key, []byte{1})
 	if err != nil || !bindAny || i.EarlierHosts == nil || !i.EarlierHosts() {
 		return known, err
 	}
-	if _, err := i.create(ctx, records.CancelledKey(call.ID), []byte{1}); err != nil {
+	earlier := records.CancelledKey(call.ID)
+	defer i.lateWrites.begin(earlier)()
+	if _, err := i.create(ctx, earlier, []byte{1}); err != nil {
 		return known, errkind.Ambiguous.New("send the call again", "Intake.writeCancellation: the organisation's mark was written, that for hosts of an earlier release may not have been: %v", err)
 	}
 	return known, nil
