--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -160,7 +160,7 @@
 // may still do so, and Ambiguous otherwise.
 func (i *Intake) create(ctx context.Context, key string, value []byte) (known bool, err error) {
 	known, err = i.write(ctx, key, value)
-	return known, i.doubt(key, err, 1)
+	return known, i.ambiguousIfPending(key, err, 1)
 }
 
 // write makes the attempts of create. It retries failed ones within writeTimeout. The error is Unavailable
@@ -304,14 +304,14 @@
 // Refuse counts and logs a submission that its handler refuses before it is decoded, and returns the error to
 // answer: err or, if the job was not accepted but an earlier call with its ID may still take effect, Ambiguous.
 func (i *Intake) Refuse(call Call, err error) error {
-	return i.reject(call, i.doubt(records.SubmittedKey(call.ID), err, 0))
+	return i.reject(call, i.ambiguousIfPending(records.SubmittedKey(call.ID), err, 0))
 }
 
-// doubt turns an Unavailable error for a key into Ambiguous if another call of this host may still write the
-// key. Besides is 1 if the call itself is counted as writing it, otherwise 0.
-func (i *Intake) doubt(key string, err error, besides int) error {
+// ambiguousIfPending turns an Unavailable error for a key into Ambiguous if another call of this host may still
+// write the key. Besides is 1 if the call itself is counted as writing it, otherwise 0.
+func (i *Intake) ambiguousIfPending(key string, err error, besides int) error {
 	if errkind.Unavailable.Is(err) && i.lateWrites.has(time.Now(), key, besides) {
-		return errkind.Ambiguous.New("send the call again with the same ID", "Intake.doubt: another call with this ID may still take effect: %s", errkind.Message(err))
+		return errkind.Ambiguous.New("send the call again with the same ID", "Intake.ambiguousIfPending: another call with this ID may still take effect: %s", errkind.Message(err))
 	}
 	return err
 }
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -25,10 +25,10 @@
 	watchTimeout  = 5 * time.Second
 	minWatchRetry = 500 * time.Millisecond
 	maxWatchRetry = 5 * time.Second
-	// maxHeard and maxHeardBytes bound the records that a host keeps of its peers, and the size of each.
-	maxHeard      = 64
-	maxHeardBytes = 1024
-	writeTimeout  = 10 * time.Second
+	// maxPeerRecords and maxPeerRecordBytes bound the number of records that a host keeps from its peers, and the size of each.
+	maxPeerRecords     = 64
+	maxPeerRecordBytes = 1024
+	writeTimeout       = 10 * time.Second
 )
 
 // Zones holds what one host knows of the cordons. Set the exported fields before use.
@@ -36,7 +36,7 @@
 	Store *store.Store
 	// OnChange is called after a cordon has begun or ended; it may be nil.
 	OnChange func()
-	// Exists, if set, reports whether a zone is known here; the records of peers of others are ignored.
+	// Exists, if set, reports whether a zone is known here; what peers say of other zones is ignored.
 	Exists func(zone string) bool
 	Log    log.Interface
 
@@ -47,9 +47,9 @@
 	// known is closed when the cordons were first read from the store or received from a peer.
 	known   chan struct{}
 	isKnown bool
-	// stored holds the newest record of each zone that was read from the store, and heard those of peers since
+	// stored holds the newest record of each zone that was read from the store, and fromPeers those of peers since
 	// the store was last read.
-	stored, heard map[string]*wire.CordonRecord
+	stored, fromPeers map[string]*wire.CordonRecord
 	// inContact is set while the last read of the store succeeded.
 	inContact bool
 }
@@ -65,14 +65,14 @@
 // prepare creates the channel and the maps if they are missing. The lock is held.
 func (z *Zones) prepare() {
 	if z.known == nil {
-		z.known, z.stored, z.heard = make(chan struct{}), map[string]*wire.CordonRecord{}, map[string]*wire.CordonRecord{}
+		z.known, z.stored, z.fromPeers = make(chan struct{}), map[string]*wire.CordonRecord{}, map[string]*wire.CordonRecord{}
 	}
 }
 
 // record returns the newest known record of a zone, or nil. The lock is held.
 func (z *Zones) record(zone string) *wire.CordonRecord {
-	if heard := z.heard[zone]; heard.GetRevision() > z.stored[zone].GetRevision() {
-		return heard
+	if record := z.fromPeers[zone]; record.GetRevision() > z.stored[zone].GetRevision() {
+		return record
 	}
 	return z.stored[zone]
 }
@@ -91,7 +91,7 @@
 // sorted returns the records in the order of the zones. The lock is held.
 func (z *Zones) sorted() []*wire.CordonRecord {
 	all := maps.Clone(z.stored)
-	for zone := range z.heard {
+	for zone := range z.fromPeers {
 		all[zone] = z.record(zone)
 	}
 	out := make([]*wire.CordonRecord, 0, len(all))
@@ -173,7 +173,7 @@
 	z.change(func() {
 		if all {
 			z.inContact = true
-			clear(z.heard)
+			clear(z.fromPeers)
 		}
 		for _, record := range records {
 			if record.GetRevision() > z.stored[record.GetZone()].GetRevision() {
@@ -196,12 +196,12 @@
 		}
 		for _, record := range view.GetCordons() {
 			zone := record.GetZone()
-			_, replaces := z.heard[zone]
+			_, replaces := z.fromPeers[zone]
 			switch {
-			case record.GetRevision() <= z.record(zone).GetRevision(), proto.Size(record) > maxHeardBytes, !replaces && len(z.heard) >= maxHeard:
+			case record.GetRevision() <= z.record(zone).GetRevision(), proto.Size(record) > maxPeerRecordBytes, !replaces && len(z.fromPeers) >= maxPeerRecords:
 			case z.Exists != nil && !z.Exists(zone):
 			default:
-				z.heard[zone] = record
+				z.fromPeers[zone] = record
 			}
 		}
 	})
