Tasks that last don't make room: a gang that waits for them keeps no others out

Cause: a step without room reserves targets where room is expected first. The end of long-running tasks was expected as for others; soon after their estimate it was "now" in each pass, for good. The gang reserved all ten targets, and no other step may use reserved ones.

Change: expectedEnd says whether a run ends by itself; reservations and the forecast leave out the others. The same cause elsewhere: a gang for one rack waited for racks that lasting tasks never leave, and what may use targets on probation was decided as if such tasks ended. Both look at what stays when all have ended that do (node.emptied).

--- a/internal/scheduler/cordon_wait.go
+++ b/internal/scheduler/cordon_wait.go
@@ -63,7 +63,7 @@
 		if !n.listed || n.Draining || n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) {
 			continue
 		}
-		fitsNow, fitsEmpty := spec.CapacityUse().CountFitting(n.Capacity.Minus(n.used), limit), spec.CapacityUse().CountFitting(n.Capacity, limit)
+		fitsNow, fitsEmpty := spec.CapacityUse().CountFitting(n.Capacity.Minus(n.used), limit), spec.CapacityUse().CountFitting(n.emptied(), limit)
 		free, capacity = free+fitsNow, capacity+fitsEmpty
 		if !p.s.isCordoned(n) {
 			openFree, openCapacity = openFree+fitsNow, openCapacity+fitsEmpty
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -87,11 +87,11 @@
 		}
 		p.whole = p.whole.Plus(n.Capacity)
 		for _, m := range n.sorted {
-			ends := time.Duration(0)
-			if m.stopDecided.IsZero() {
-				ends = s.memberRemainingTime(now, m)
+			at, ends := s.expectedEnd(now, m)
+			if !ends {
+				at = now.Add(releaseIntervals * releaseInterval)
 			}
-			p.addRun(m.unit.step, ends)
+			p.addRun(m.unit.step, at.Sub(now))
 		}
 	}
 	for name, largest := range s.load.largest {
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -74,8 +74,9 @@
 	suspectSince, unansweredAt time.Time
 	// lastEnd is the number of the last ended run that was processed.
 	lastEnd int64
-	// used is the capacity that members take up; members holds the tasks that may be alive here.
-	used    workload.Resources
+	// used is the capacity that members take up, and lastingUse the part of it that long-running tasks do.
+	used, lastingUse workload.Resources
+	// members holds the tasks that may be alive here.
 	members map[target.Run]*member
 	// sorted holds the members in the order of their runs.
 	sorted []*member
@@ -132,9 +133,21 @@
 	if at, found := slices.BinarySearchFunc(n.sorted, m, compareMembers); found {
 		n.sorted = slices.Delete(n.sorted, at, at+1)
 	}
-	n.used = n.used.Minus(m.unit.step.spec.CapacityUse())
+	n.countUse(m, workload.Resources.Minus)
 }
 
+// countUse adds what a member uses to the capacity in use here, or subtracts it.
+func (n *node) countUse(m *member, count func(a, b workload.Resources) workload.Resources) {
+	spec := m.unit.step.spec
+	n.used = count(n.used, spec.CapacityUse())
+	if spec.LongRunning {
+		n.lastingUse = count(n.lastingUse, spec.CapacityUse())
+	}
+}
+
+// emptied returns the capacity that will be free when all runs have ended that end by themselves.
+func (n *node) emptied() workload.Resources { return n.Capacity.Minus(n.lastingUse) }
+
 func compareMembers(a, b *member) int { return a.run.Compare(b.run) }
 
 // TargetListed handles a new or changed entry of a target in the store. An entry of a former
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -236,7 +236,8 @@
 	return total != nil && total.used.DominantShare(total.whole) > mostlyUsedShare
 }
 
-// rackCouldHold reports whether some rack could hold the gang if it were empty.
+// rackCouldHold reports whether some rack could hold the gang if all runs there had ended that end by
+// themselves.
 func (p *pass) rackCouldHold(c *candidate, count int) bool {
 	requirements := c.requirements()
 	could, known := p.couldHold[requirements]
@@ -259,7 +260,7 @@
 			if spec.MaxPerTarget > 0 {
 				limit = min(limit, spec.MaxPerTarget)
 			}
-			total += spec.CapacityUse().CountFitting(n.Capacity, limit)
+			total += spec.CapacityUse().CountFitting(n.emptied(), limit)
 		}
 		if total >= count {
 			return true
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -52,7 +52,7 @@
 		to = &p.urgent
 	}
 	to.used.add(amountsOf(use), 1)
-	if interval := ends / releaseInterval; interval < releaseIntervals && !st.spec.LongRunning {
+	if interval := ends / releaseInterval; interval < releaseIntervals {
 		to.releases[interval].add(amountsOf(use), 1)
 	}
 }
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -328,7 +328,8 @@
 	return !c.step.spec.Gang && !c.step.spec.LongRunning && c.step.job.terms.Priority > 0 && attemptsLeft && c.expirySlack >= minTrialRuns*runSeconds
 }
 
-// couldHoldUnrestricted reports whether targets that admit the candidate could hold its unit if they were empty.
+// couldHoldUnrestricted reports whether targets that admit the candidate could hold its unit if all runs there
+// had ended that end by themselves.
 func (p *pass) couldHoldUnrestricted(c *candidate) bool {
 	missing := c.step.spec.Members()
 	for _, n := range p.openNodes {
@@ -339,7 +340,7 @@
 		if c.step.spec.MaxPerTarget > 0 {
 			limit = min(limit, c.step.spec.MaxPerTarget)
 		}
-		if missing -= c.step.spec.CapacityUse().CountFitting(n.Capacity, limit); missing <= 0 {
+		if missing -= c.step.spec.CapacityUse().CountFitting(n.emptied(), limit); missing <= 0 {
 			return true
 		}
 	}
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -129,7 +129,7 @@
 	n.members[m.run] = m
 	at, _ := slices.BinarySearchFunc(n.sorted, m, compareMembers)
 	n.sorted = slices.Insert(n.sorted, at, m)
-	n.used = n.used.Plus(u.step.spec.CapacityUse())
+	n.countUse(m, workload.Resources.Plus)
 	s.openUse(m)
 }
 
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -95,23 +95,30 @@
 	use workload.Resources
 }
 
-// releases returns the runs on a target in the order in which they are expected to end.
+// releases returns the runs on a target in the order in which they are expected to end, without those that
+// are not.
 func (p *pass) releases(n *freeCapacity) []release {
 	if n.hasReleases {
 		return n.releases
 	}
 	n.releases, n.hasReleases = n.releases[:0], true
 	for _, m := range n.sorted {
-		n.releases = append(n.releases, release{p.s.expectedEnd(p.now, m), m.unit.step.spec.CapacityUse()})
+		if at, ends := p.s.expectedEnd(p.now, m); ends {
+			n.releases = append(n.releases, release{at, m.unit.step.spec.CapacityUse()})
+		}
 	}
 	slices.SortStableFunc(n.releases, func(a, b release) int { return a.at.Compare(b.at) })
 	return n.releases
 }
 
-// expectedEnd returns when a run is expected to end.
-func (s *Scheduler) expectedEnd(now time.Time, m *member) time.Time {
+// expectedEnd returns when a run is expected to end; false if it is not, because its task lasts and is not
+// being stopped.
+func (s *Scheduler) expectedEnd(now time.Time, m *member) (at time.Time, ends bool) {
 	if !m.stopDecided.IsZero() {
-		return now
+		return now, true
+	}
+	if m.unit.step.spec.LongRunning {
+		return time.Time{}, false
 	}
-	return now.Add(s.remainingTime(now, m.unit))
+	return now.Add(s.remainingTime(now, m.unit)), true
 }
