Reservations keep what they will use, and yield where they keep others out for long

Cause: a reservation took whole targets, one for each member of a gang, without any bound. A gang of which several members fit on a target reserved a target for each, or nothing if there were fewer targets.

Change: it holds capacity for its members, counted on each target, and leaves the rest to others. It yields to work that it alone has kept out for 1.5 s: to tasks that last, and to steps of which nothing runs while less than half of the service is in use; otherwise it holds, so that gangs get their turn. Tasks that last may use the headroom then, too. `run placed` tells of it (reservedFor).

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -98,8 +98,11 @@
 	// seeksTrial says that targets on probation may be used for a trial, and ignoresRestrictions that any may be
 	// used for everything.
 	seeksTrial, ignoresRestrictions bool
-	// usesHeadroom says that the job may use what is kept for priority 0.
-	usesHeadroom bool
+	// usesHeadroom says that the job may use what is kept for priority 0, and usesReserved that the step may
+	// use what is reserved for others that wait.
+	usesHeadroom, usesReserved bool
+	// keptOut says that the last search met a target with free capacity that is kept for others.
+	keptOut keptOut
 	// placed counts the units that were started in this pass.
 	placed int
 }
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -178,7 +178,7 @@
 		if c.step.spec.MaxPerTarget > 0 {
 			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
 		}
-		maxMembers := n.countFitting(c.step.spec.CapacityUse(), n.free, limit)
+		maxMembers := n.countFitting(c.step.spec.CapacityUse(), n.freeFor(c), limit)
 		options = append(options, memberOption{freeCapacity: n, effectiveSpeed: p.effectiveSpeed(c, n), maxMembers: maxMembers})
 		total += maxMembers
 	}
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -109,8 +109,11 @@
 }
 
 // usesHeadroom reports whether the candidate may use what is kept for priority 0: it is of that priority
-// itself, or has waited for long while nothing of its step runs.
+// itself, its tasks last and have been kept out, or it has waited for long while nothing of its step runs.
 func (p *pass) usesHeadroom(c *candidate) bool {
 	st := c.step
-	return st.job.terms.Priority == 0 || (st.idleUnits == st.unitsLeft && p.now.Sub(st.occurrence.due) >= maxHeadroomWait)
+	return st.job.terms.Priority == 0 || (st.spec.LongRunning && p.isKeptOutForLong(c)) || (st.isIdle() && p.now.Sub(st.occurrence.due) >= maxHeadroomWait)
 }
+
+// isIdle reports whether nothing of the step runs.
+func (st *step) isIdle() bool { return st.idleUnits == st.unitsLeft }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -63,6 +63,8 @@
 	demandRecorded bool
 	// waitsSince is when the step first waited for runs to end instead of having runs stopped.
 	waitsSince time.Time
+	// keptOutSince is since when free capacity that is kept for others is all that the step would fit into.
+	keptOutSince time.Time
 	// searchAgainAt is when runs to stop for the step are next searched for.
 	searchAgainAt time.Time
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -34,8 +34,11 @@
 	restriction restriction
 	// doubted says that failures of a short time ago speak against the target.
 	doubted bool
-	// reserved is the step for which the target's capacity is reserved.
-	reserved *step
+	// reserved is the step for which capacity of the target is reserved. What it will use is in reservedUse;
+	// others may have the rest. If reservedUse is zero, the whole target is reserved, until runs there have
+	// been stopped or have ended.
+	reserved    *step
+	reservedUse workload.Resources
 	// kept says that the free capacity is kept for work of priority 0.
 	kept bool
 	// releases holds the runs here in the order in which they are expected to end, once a step
@@ -81,8 +84,8 @@
 	// searches counts the searches for runs to stop that found none worthwhile.
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
-	// pass.
-	unplaceable map[unitRequirements]bool
+	// pass, and whether some had but for what is kept for others.
+	unplaceable map[unitRequirements]keptOut
 }
 
 // unitRequirements are the properties of a unit that decide whether it fits anywhere. When a
@@ -95,10 +98,14 @@
 	sameRack bool
 	label    string
 	dataRack string
-	// usesHeadroom says that the unit may use what is kept for priority 0.
-	usesHeadroom bool
+	// usesHeadroom says that the unit may use what is kept for priority 0, and usesReserved that it may use
+	// what is reserved for steps that wait.
+	usesHeadroom, usesReserved bool
 }
 
+// keptOut says that there is free capacity for a unit which is reserved for others, or kept for priority 0.
+type keptOut bool
+
 // place starts the units for which there is free capacity, in the order of the candidates.
 func (s *Scheduler) place(now time.Time) {
 	candidates := s.candidates(now)
@@ -137,19 +144,19 @@
 // startUnits starts the units of a candidate for which there is free capacity. For the first
 // one that does not fit it tries to reserve capacity, and skips the rest.
 func (p *pass) startUnits(c *candidate) {
-	c.usesHeadroom = p.usesHeadroom(c)
-	requirements := c.requirements()
+	c.usesHeadroom, c.usesReserved = p.usesHeadroom(c), p.usesReserved(c)
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
-		if p.unplaceable[requirements] {
-			p.s.shares.short = true
-			p.logCordonWait(c, requirements)
+		requirements := c.requirements()
+		if kept, known := p.unplaceable[requirements]; known {
+			p.leaveWaiting(c, requirements, kept)
 			break
 		}
+		c.keptOut = false
 		chosen := p.choose(c, u)
 		if chosen.openNodes == nil {
-			p.unplaceable[requirements], p.s.shares.short = true, true
-			p.logCordonWait(c, requirements)
+			p.unplaceable[requirements] = c.keptOut
+			p.leaveWaiting(c, requirements, c.keptOut)
 			p.reserve(c)
 			break
 		}
@@ -159,6 +166,19 @@
 		}
 		p.startRun(c, u, chosen)
 		c.placed++
+		c.usesReserved = c.usesReserved && p.usesReserved(c)
+	}
+}
+
+// leaveWaiting records that a candidate found no room.
+func (p *pass) leaveWaiting(c *candidate, requirements unitRequirements, kept keptOut) {
+	p.s.shares.short = true
+	p.logCordonWait(c, requirements)
+	switch {
+	case !bool(kept):
+		c.step.keptOutSince = time.Time{}
+	case c.step.keptOutSince.IsZero():
+		c.step.keptOutSince = p.now
 	}
 }
 
@@ -171,7 +191,7 @@
 	if spec.Gang {
 		requirements.count = spec.Count
 	}
-	requirements.usesHeadroom = c.usesHeadroom
+	requirements.usesHeadroom, requirements.usesReserved = c.usesHeadroom, c.usesReserved
 	if spec.MaxPerTarget > 0 {
 		// The limit depends on where the step's other tasks run, so the result holds for this
 		// job only.
@@ -186,10 +206,14 @@
 	if n.Service != c.step.job.terms.Service || n.countFitting(spec.CapacityUse(), n.free, 1) == 0 || !n.hasLabel(spec.RequiredLabel) {
 		return false
 	}
-	if (n.reserved != nil && n.reserved != c.step) || (n.kept && !c.usesHeadroom) || !p.admits(c, n) {
+	if !p.admits(c, n) || (spec.MaxPerTarget > 0 && n.count(c.step) >= spec.MaxPerTarget) {
+		return false
+	}
+	if (n.kept && !c.usesHeadroom) || n.countFitting(spec.CapacityUse(), n.freeFor(c), 1) == 0 {
+		c.keptOut = true
 		return false
 	}
-	return spec.MaxPerTarget == 0 || n.count(c.step) < spec.MaxPerTarget
+	return true
 }
 
 func (n *node) hasLabel(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
@@ -287,6 +311,9 @@
 		if n.cold.left > 0 {
 			placed["coldRemaining"] = n.cold.left
 		}
+		if n.reserved != nil && n.reserved != c.step {
+			placed["reservedFor"] = n.reserved.job.ID
+		}
 		if n.recordTrial(m) {
 			placed["reason"] = "a trial of a target on probation"
 		}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -1,12 +1,17 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
+// maxKeptOut is how long capacity that is reserved for steps that wait may keep others out that yielding
+// would serve; see usesReserved.
+const maxKeptOut = 1500 * time.Millisecond
+
 // reserve reserves capacity for a candidate that found none: for priority 0 by stopping less
 // valuable runs where that is worthwhile, otherwise on the targets that are expected to have
 // enough free capacity first.
@@ -18,20 +23,46 @@
 		return
 	}
 	count := c.step.spec.Members()
-	var best []*freeCapacity
-	var earliest time.Time
+	var best *reservation
 	for _, openNodes := range p.nodeSets(c, count) {
-		chosen, at := p.earliest(c, openNodes, count)
-		if chosen != nil && (best == nil || at.Before(earliest)) {
-			best, earliest = chosen, at
+		if found := p.earliest(c, openNodes, count); found != nil && (best == nil || found.at.Before(best.at)) {
+			best = found
 		}
 	}
-	for _, n := range best {
-		n.reserved = c.step
+	if best == nil {
+		return
 	}
-	if best != nil {
-		p.reservations++
+	for _, slot := range best.slots {
+		slot.n.reserved, slot.n.reservedUse = c.step, slot.n.reservedUse.Plus(c.step.spec.CapacityUse())
 	}
+	p.reservations++
+}
+
+// usesReserved reports whether the candidate may use capacity that is reserved for steps that wait. Such a
+// reservation may take long to ripen, so it yields to work that it has kept out for maxKeptOut: to tasks that
+// last, which may not be down for long, and to steps of which nothing runs while little of the service is in
+// use. It does not yield on a service of which more is in use, so that gangs get their turn.
+func (p *pass) usesReserved(c *candidate) bool {
+	return p.isKeptOutForLong(c) && (c.step.spec.LongRunning || (c.step.isIdle() && !p.mostlyUsed(c)))
+}
+
+// isKeptOutForLong reports whether the candidate has found only capacity that is kept for others for maxKeptOut.
+func (p *pass) isKeptOutForLong(c *candidate) bool {
+	since := c.step.keptOutSince
+	return !since.IsZero() && p.now.Sub(since) >= maxKeptOut
+}
+
+// freeFor returns the free capacity of a target that a candidate may use.
+func (n *freeCapacity) freeFor(c *candidate) workload.Resources {
+	switch {
+	case n.reserved == nil || n.reserved == c.step:
+		return n.free
+	case n.reservedUse == workload.Resources{}:
+		return workload.Resources{}
+	case c.usesReserved:
+		return n.free
+	}
+	return n.free.Minus(n.reservedUse)
 }
 
 // nodeSets returns the sets of targets within which a unit may be placed: each rack for a gang
@@ -43,50 +74,58 @@
 	return p.racks
 }
 
-// earliest finds the targets that will have free capacity for count members first, and when.
-func (p *pass) earliest(c *candidate, openNodes []*freeCapacity, count int) ([]*freeCapacity, time.Time) {
-	type option struct {
-		n  *freeCapacity
-		at time.Time
-	}
-	var options []option
+// reservation is the capacity that is expected to be free for all members of a unit first.
+type reservation struct {
+	slots []slot
+	// at is when the last of the slots becomes free.
+	at time.Time
+}
+
+// slot is capacity for one member on a target.
+type slot struct {
+	n *freeCapacity
+	// at is when it becomes free, and together how many slots the target then has.
+	at       time.Time
+	together int
+}
+
+// earliest finds the targets that will have free capacity for count members first; nil if they never will.
+func (p *pass) earliest(c *candidate, openNodes []*freeCapacity, count int) *reservation {
+	var slots []slot
 	for _, n := range openNodes {
 		if n.reserved != nil || (n.kept && !c.usesHeadroom) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
 			continue
 		}
-		at, ok := p.capacityAt(c.step.spec, n)
-		if ok {
-			options = append(options, option{n, at})
-		}
+		slots = p.addSlots(slots, c.step.spec, n, count)
 	}
-	if len(options) < count {
-		return nil, time.Time{}
+	if len(slots) < count {
+		return nil
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
-	var chosen []*freeCapacity
-	for _, o := range options[:count] {
-		chosen = append(chosen, o.n)
-	}
-	return chosen, options[count-1].at
+	// Of the slots that become free at the same time, those on fewer targets come first.
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(b.together, a.together)) })
+	return &reservation{slots: slots[:count], at: slots[count-1].at}
 }
 
-// capacityAt returns when a target is expected to have free capacity for one task; false if the
-// task would not fit even after all runs there have ended.
-func (p *pass) capacityAt(spec *workload.Step, n *freeCapacity) (time.Time, bool) {
-	free := n.free
-	if n.countFitting(spec.CapacityUse(), free, 1) > 0 {
-		return p.now, true
+// addSlots adds the slots of a target, at most count.
+func (p *pass) addSlots(slots []slot, spec *workload.Step, n *freeCapacity, count int) []slot {
+	use, free, found := spec.CapacityUse(), n.free, 0
+	add := func(at time.Time, fitting int) {
+		for ; found < fitting; found++ {
+			slots = append(slots, slot{n: n, at: at, together: fitting})
+		}
 	}
+	add(p.now, n.countFitting(use, free, count))
 	for _, r := range p.releases(n) {
-		free = free.Plus(r.use)
-		if n.countFitting(spec.CapacityUse(), free, 1) > 0 {
-			return r.at, true
+		if found == count {
+			return slots
 		}
+		free = free.Plus(r.use)
+		add(r.at, n.countFitting(use, free, count))
 	}
-	if n.cold.left > 0 && spec.CapacityUse().Fits(free) {
-		return p.now.Add(n.cold.left), true
+	if n.cold.left > 0 {
+		add(p.now.Add(n.cold.left), use.CountFitting(free, count))
 	}
-	return time.Time{}, false
+	return slots
 }
 
 // release is capacity that becomes free when a run ends.
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -33,6 +33,13 @@
 	return f
 }
 
+// later is a step of small tasks that is placed after the gangs of these tests, since its tasks take long.
+func later(count int) workload.Step {
+	step := smallStep(count)
+	step.Estimate = 10 * time.Minute
+	return step
+}
+
 // startedJobs makes a step, accepts all its starts and counts them by job.
 func (f *fixture) startedJobs() map[string]int {
 	out := map[string]int{}
@@ -67,3 +74,67 @@
 		t.Errorf("have starts %v, want the gang spread over two racks, since neither can ever hold it", started)
 	}
 }
+
+// Guards against: a reservation keeps others from capacity that the step it is made for won't use.
+func TestReservationLeavesTheRestOfItsTargetsToOthers(t *testing.T) {
+	f := besideFull(t, 2, gangStep(1, 8))
+	f.submitFor("without guarantee", "gang", "batch", gangStep(2, 6))
+	f.submitFor("without guarantee", "small", "batch", later(3))
+	if started := f.startedJobs(); started["small"] != 2 || started["gang"] != 0 {
+		t.Errorf("have starts %v, want two small tasks beside the six accelerators that the gang needs", started)
+	}
+}
+
+// Guards against: a gang of which several members fit on a target reserves nothing, so that small work always
+// takes what it waits for.
+func TestGangReservesRoomForSeveralMembersOnATarget(t *testing.T) {
+	f := besideFull(t, 2, gangStep(1, 8))
+	f.submitFor("without guarantee", "some", "batch", gangStep(1, 4))
+	f.startAll()
+	f.submitFor("without guarantee", "gang", "batch", gangStep(6, 1))
+	f.submitFor("without guarantee", "small", "batch", later(1))
+	if started := f.startedJobs(); len(started) != 0 {
+		t.Errorf("have starts %v, want none: the gang needs the four accelerators of t1 and two of t0", started)
+	}
+}
+
+// Guards against: a reservation that does not ripen keeps a job from a service of which little is in use.
+func TestReservationYieldsWhereLittleIsInUse(t *testing.T) {
+	long := gangStep(1, 8)
+	long.Estimate = time.Hour
+	f := besideFull(t, 4, long)
+	f.submitFor("without guarantee", "gang", "batch", gangStep(4, 8))
+	f.submitFor("without guarantee", "job", "batch", later(2))
+	var kept time.Duration
+	for started := f.startedJobs(); started["job"] == 0; started = f.startedJobs() {
+		if kept > 2*time.Second {
+			t.Fatalf("the job was kept out for %s of a service of which a quarter is in use", kept)
+		}
+		f.advance(100 * time.Millisecond)
+		kept += 100 * time.Millisecond
+	}
+	if kept < time.Second {
+		t.Errorf("the reservation held for %s only", kept)
+	}
+}
+
+// Guards against: lasting tasks wait for room that is reserved for others for longer than they may be down.
+func TestReservationYieldsToLastingTasks(t *testing.T) {
+	f := besideFull(t, 4, gangStep(1, 8))
+	half := gangStep(1, 8)
+	half.Estimate = time.Hour
+	f.submitFor("without guarantee", "half", "batch", half)
+	f.submitFor("without guarantee", "other half", "batch", half)
+	f.startAll()
+	f.submitFor("without guarantee", "gang", "batch", gangStep(4, 8))
+	lasting := lastingStep(2, 1)
+	lasting.Estimate = 10 * time.Minute
+	f.submitFor("without guarantee", "lasting", "batch", lasting)
+	if started := f.startedJobs(); len(started) != 0 {
+		t.Fatalf("have starts %v, want none while the gang's reservation is new", started)
+	}
+	f.advance(2 * time.Second)
+	if started := f.startedJobs(); started["lasting"] != 2 {
+		t.Errorf("have starts %v after 2 s, want the two lasting tasks", started)
+	}
+}
