One description of room, so that no step reserves a target that it may not use

Cause: each place that looks for room had its own list of conditions, and reservations left the limit per target out.

Change: room.go holds what a target has for tasks of a step (free capacity, the step's limit and own tasks there, limits of cold targets) and who may run there at all (service, label, probation). Starts, reservations, waits, stops, racks, probation and the reasons of cordoned zones ask it.

Found beside it: requirements without room were told apart by job, so that one occurrence at its limit kept the next one off the target; nor by priority 0 or by what may be a trial.

--- a/internal/scheduler/cordon_wait.go
+++ b/internal/scheduler/cordon_wait.go
@@ -54,16 +54,13 @@
 // would wait without the cordons too.
 func (p *pass) cordonWaitReason(c *candidate, count int) string {
 	spec := c.step.spec
-	limit := count
-	if spec.MaxPerTarget > 0 {
-		limit = min(limit, spec.MaxPerTarget)
-	}
 	free, capacity, openFree, openCapacity := 0, 0, 0, 0
 	for _, n := range p.s.ordered {
 		if !n.listed || n.Draining || n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) {
 			continue
 		}
-		fitsNow, fitsEmpty := spec.CapacityUse().CountFitting(n.Capacity.Minus(n.used), limit), spec.CapacityUse().CountFitting(n.emptied(), limit)
+		fitsNow := spec.CapacityUse().CountFitting(n.Capacity.Minus(n.used), c.step.limitBeside(n.countOf(c.step), count))
+		fitsEmpty := n.maxEmptied(c.step, count)
 		free, capacity = free+fitsNow, capacity+fitsEmpty
 		if !p.s.isCordoned(n) {
 			openFree, openCapacity = openFree+fitsNow, openCapacity+fitsEmpty
--- a/internal/scheduler/cost.go
+++ b/internal/scheduler/cost.go
@@ -107,7 +107,7 @@
 	var best *freeCapacity
 	bestCost, bestSeconds := math.Inf(1), 0.0
 	for _, n := range p.candidateNodes(c) {
-		if !p.fits(c, n) {
+		if p.maxMembers(c, n, 1) == 0 {
 			continue
 		}
 		runSeconds := p.runSeconds(c, p.effectiveSpeed(c, n))
@@ -171,14 +171,10 @@
 	options := p.bySpeed[:0]
 	total := 0
 	for _, n := range openNodes {
-		if !p.fits(c, n) {
+		maxMembers := p.maxMembers(c, n, count)
+		if maxMembers == 0 {
 			continue
 		}
-		limit := count
-		if c.step.spec.MaxPerTarget > 0 {
-			limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
-		}
-		maxMembers := n.countFitting(c.step.spec.CapacityUse(), n.freeFor(c), limit)
 		options = append(options, memberOption{freeCapacity: n, effectiveSpeed: p.effectiveSpeed(c, n), maxMembers: maxMembers})
 		total += maxMembers
 	}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -145,9 +145,6 @@
 	}
 }
 
-// emptied returns the capacity that will be free when all runs have ended that end by themselves.
-func (n *node) emptied() workload.Resources { return n.Capacity.Minus(n.lastingUse) }
-
 func compareMembers(a, b *member) int { return a.run.Compare(b.run) }
 
 // TargetListed handles a new or changed entry of a target in the store. An entry of a former
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -101,6 +101,10 @@
 	// usesHeadroom says that the unit may use what is kept for priority 0, and usesReserved that it may use
 	// what is reserved for steps that wait.
 	usesHeadroom, usesReserved bool
+	// urgent says that the unit has priority 0, and mayBeTrial that it may be risked on a target on probation.
+	urgent, mayBeTrial bool
+	// limited is the unit's step if it has a limit per target.
+	limited *step
 }
 
 // keptOut says that there is free capacity for a unit which is reserved for others, or kept for priority 0.
@@ -148,6 +152,7 @@
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
 		requirements := c.requirements()
+		requirements.mayBeTrial = p.restricted > 0 && c.mayBeTrial(u, p.runSeconds(c, 1))
 		if kept, known := p.unplaceable[requirements]; known {
 			p.leaveWaiting(c, requirements, kept)
 			break
@@ -186,7 +191,7 @@
 	spec := c.step.spec
 	requirements := unitRequirements{
 		service: c.step.job.terms.Service, needs: spec.CapacityUse(), count: 1, gang: spec.Gang, sameRack: spec.SameRack,
-		label: spec.RequiredLabel, dataRack: spec.DataRack,
+		label: spec.RequiredLabel, dataRack: spec.DataRack, urgent: c.step.job.terms.Priority == 0,
 	}
 	if spec.Gang {
 		requirements.count = spec.Count
@@ -194,28 +199,12 @@
 	requirements.usesHeadroom, requirements.usesReserved = c.usesHeadroom, c.usesReserved
 	if spec.MaxPerTarget > 0 {
 		// The limit depends on where the step's other tasks run, so the result holds for this
-		// job only.
-		requirements.service += "/" + c.step.job.ID
+		// step only.
+		requirements.limited = c.step
 	}
 	return requirements
 }
 
-// fits reports whether one more task of the step may run on a target.
-func (p *pass) fits(c *candidate, n *freeCapacity) bool {
-	spec := c.step.spec
-	if n.Service != c.step.job.terms.Service || n.countFitting(spec.CapacityUse(), n.free, 1) == 0 || !n.hasLabel(spec.RequiredLabel) {
-		return false
-	}
-	if !p.admits(c, n) || (spec.MaxPerTarget > 0 && n.count(c.step) >= spec.MaxPerTarget) {
-		return false
-	}
-	if (n.kept && !c.usesHeadroom) || n.countFitting(spec.CapacityUse(), n.freeFor(c), 1) == 0 {
-		c.keptOut = true
-		return false
-	}
-	return true
-}
-
 func (n *node) hasLabel(label string) bool { return label == "" || slices.Contains(n.Labels, label) }
 
 // count returns the number of tasks of a step on a target, including those placed in this
@@ -273,18 +262,10 @@
 }
 
 func (p *pass) anyRackHolds(c *candidate, count int) bool {
-	spec := c.step.spec
 	for _, rack := range p.racks {
 		total := 0
 		for _, n := range rack {
-			if n.Service != c.step.job.terms.Service || !n.hasLabel(spec.RequiredLabel) || !p.admits(c, n) {
-				continue
-			}
-			limit := count
-			if spec.MaxPerTarget > 0 {
-				limit = min(limit, spec.MaxPerTarget)
-			}
-			total += spec.CapacityUse().CountFitting(n.emptied(), limit)
+			total += p.maxMembersEmptied(c, n, count)
 		}
 		if total >= count {
 			return true
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -162,7 +162,7 @@
 func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int, wait time.Duration, mayStop bool) *preemption {
 	var options []clearOption
 	for _, n := range openNodes {
-		if (n.reserved != nil && n.reserved != c.step) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
+		if (n.reserved != nil && n.reserved != c.step) || !p.mayRunOn(c, n) {
 			continue
 		}
 		if o := p.clearTarget(c, n, count, p.now.Add(wait), mayStop); o.maxMembers > 0 {
@@ -212,17 +212,14 @@
 // clearTarget finds the runs to stop on one target so that at least one of count tasks fits there. Runs that
 // are expected to end by until count as ended.
 func (p *pass) clearTarget(c *candidate, n *freeCapacity, count int, until time.Time, mayStop bool) clearOption {
-	use, free, limit := c.step.spec.CapacityUse(), n.free, count
-	if c.step.spec.MaxPerTarget > 0 {
-		limit = min(limit, c.step.spec.MaxPerTarget-n.count(c.step))
-	}
+	r := c.roomOn(n)
 	// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
 	for _, m := range n.sorted {
 		if !m.stopDecided.IsZero() || p.endsBy(m.unit, until) {
-			free = free.Plus(m.unit.step.spec.CapacityUse())
+			r.release(m.unit.step)
 		}
 	}
-	o := clearOption{n: n, maxMembers: n.countFitting(use, free, limit)}
+	o := clearOption{n: n, maxMembers: r.holds(count)}
 	if o.maxMembers != 0 || !mayStop {
 		return o
 	}
@@ -233,10 +230,10 @@
 		o.victims, o.rank = append(o.victims, v), o.rank+v.rank
 		for _, m := range v.unit.members {
 			if m.node == n.node {
-				free = free.Plus(v.unit.step.spec.CapacityUse())
+				r.release(v.unit.step)
 			}
 		}
-		if o.maxMembers = n.countFitting(use, free, limit); o.maxMembers > 0 {
+		if o.maxMembers = r.holds(count); o.maxMembers > 0 {
 			break
 		}
 	}
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -333,14 +333,7 @@
 func (p *pass) couldHoldUnrestricted(c *candidate) bool {
 	missing := c.step.spec.Members()
 	for _, n := range p.openNodes {
-		if n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
-			continue
-		}
-		limit := missing
-		if c.step.spec.MaxPerTarget > 0 {
-			limit = min(limit, c.step.spec.MaxPerTarget)
-		}
-		if missing -= c.step.spec.CapacityUse().CountFitting(n.emptied(), limit); missing <= 0 {
+		if missing -= p.maxMembersEmptied(c, n, missing); missing <= 0 {
 			return true
 		}
 	}
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -93,10 +93,10 @@
 func (p *pass) earliest(c *candidate, openNodes []*freeCapacity, count int) *reservation {
 	var slots []slot
 	for _, n := range openNodes {
-		if n.reserved != nil || (n.kept && !c.usesHeadroom) || n.Service != c.step.job.terms.Service || !n.hasLabel(c.step.spec.RequiredLabel) || !p.admits(c, n) {
+		if n.reserved != nil || (n.kept && !c.usesHeadroom) || !p.mayRunOn(c, n) {
 			continue
 		}
-		slots = p.addSlots(slots, c.step.spec, n, count)
+		slots = p.addSlots(slots, c, n, count)
 	}
 	if len(slots) < count {
 		return nil
@@ -107,31 +107,31 @@
 }
 
 // addSlots adds the slots of a target, at most count.
-func (p *pass) addSlots(slots []slot, spec *workload.Step, n *freeCapacity, count int) []slot {
-	use, free, found := spec.CapacityUse(), n.free, 0
+func (p *pass) addSlots(slots []slot, c *candidate, n *freeCapacity, count int) []slot {
+	r, found := c.roomOn(n), 0
 	add := func(at time.Time, fitting int) {
 		for ; found < fitting; found++ {
 			slots = append(slots, slot{n: n, at: at, together: fitting})
 		}
 	}
-	add(p.now, n.countFitting(use, free, count))
-	for _, r := range p.releases(n) {
+	add(p.now, r.holds(count))
+	for _, released := range p.releases(n) {
 		if found == count {
 			return slots
 		}
-		free = free.Plus(r.use)
-		add(r.at, n.countFitting(use, free, count))
+		r.release(released.step)
+		add(released.at, r.holds(count))
 	}
 	if n.cold.left > 0 {
-		add(p.now.Add(n.cold.left), use.CountFitting(free, count))
+		add(p.now.Add(n.cold.left), r.holdsWarm(count))
 	}
 	return slots
 }
 
-// release is capacity that becomes free when a run ends.
+// release is the expected end of a task of a step, which frees its capacity.
 type release struct {
-	at  time.Time
-	use workload.Resources
+	at   time.Time
+	step *step
 }
 
 // releases returns the runs on a target in the order in which they are expected to end, without those that
@@ -143,7 +143,7 @@
 	n.releases, n.hasReleases = n.releases[:0], true
 	for _, m := range n.sorted {
 		if at, ends := p.s.expectedEnd(p.now, m); ends {
-			n.releases = append(n.releases, release{at, m.unit.step.spec.CapacityUse()})
+			n.releases = append(n.releases, release{at, m.unit.step})
 		}
 	}
 	slices.SortStableFunc(n.releases, func(a, b release) int { return a.at.Compare(b.at) })
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -138,3 +138,32 @@
 		t.Errorf("have starts %v after 2 s, want the two lasting tasks", started)
 	}
 }
+
+// Guards against: a task that its step's limit keeps off a target reserves that target.
+func TestTaskAtItsLimitPerTargetReservesNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	lasting := lastingStep(2, 1)
+	lasting.MaxPerTarget = 1
+	f.submit("lasting", "urgent", lasting)
+	f.startAll()
+	f.advance(time.Second)
+	f.submit("other", "batch", gangStep(1, 7))
+	if started := f.startedJobs(); started["other"] != 1 {
+		t.Errorf("have starts %v, want the task that uses the rest of t0, on which the second lasting task may not run", started)
+	}
+}
+
+// Guards against: the limit per target of one occurrence keeps the next one off that target.
+func TestLimitPerTargetHoldsForOneOccurrence(t *testing.T) {
+	f := newFixture(t, 1)
+	step := smallStep(2)
+	step.MaxPerTarget = 1
+	f.Submit(f.now, &workload.Job{
+		ID: "job", Queue: "batch", Organisation: "o", Accepted: f.now, Steps: []workload.Step{step}, RepeatCount: 2, FirstDue: f.now, Interval: time.Second,
+	})
+	f.startAll()
+	f.advance(time.Second)
+	if starts := f.startAll(); len(starts) != 1 || starts[0].Run.Task.Occurrence != 1 {
+		t.Errorf("have starts %v, want one of the second occurrence", starts)
+	}
+}
