One unanswered call gives up the connections that may be silent too

Cause, two in turn: a call without an answer closed only its own connection, so that each further call ran into the next silent one; and two such calls let the host count as cut off, with one direct call a second from then on, while calls through other hosts failed for the same reason. Calls sent before the store's last answer counted as well.

Nothing is sent twice.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	failedAt time.Time
 	// nextDirect is the earliest time of the next direct call while direct calls fail.
 	nextDirect time.Time
+	// answeredFrom is when the latest of the direct calls was sent that the store has answered.
+	answeredFrom time.Time
 	// nextPeers is the earliest time of the next call through peers.
 	nextPeers time.Time
 	// failedProbes counts the consecutive probes that no host of another zone answered, and
@@ -113,9 +115,12 @@
 	return true
 }
 
-// recordDirect records the result of a direct call and logs when direct calls start to fail
-// or work again. Invalid errors come from the request and say nothing about the store.
-func (r *Relay) recordDirect(err error) {
+// recordDirect records the result of a direct call that was sent at a time, and logs when direct calls start to
+// fail or work again. Invalid errors come from the request and say nothing about the store. Nor does the
+// failure of a call that was sent before one that the store has answered: its connection may have gone silent
+// for good, while new ones work. For the same reason one call goes to the store at once when calls that got no
+// answer have let the host count as cut off.
+func (r *Relay) recordDirect(err error, sent time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -124,14 +129,20 @@
 			r.Log.Info("relay: the store answers this host again")
 		}
 		r.failures, r.failedProbes, r.failedZoneProbes = 0, 0, 0
-	case errkind.Invalid.Is(err):
+		if sent.After(r.answeredFrom) {
+			r.answeredFrom = sent
+		}
+	case errkind.Invalid.Is(err), sent.Before(r.answeredFrom):
 	default:
 		r.failures++
 		if r.failures >= relayAfterFailures {
 			r.failedAt = time.Now()
 		}
 		if r.failures == relayAfterFailures {
-			r.nextDirect = time.Now().Add(directRetryPeriod)
+			r.nextDirect = time.Now()
+			if !errkind.Ambiguous.Is(err) {
+				r.nextDirect = r.nextDirect.Add(directRetryPeriod)
+			}
 			r.Log.WithError(err).Warn("relay: the store does not answer this host; its calls go through others")
 		}
 	}
@@ -142,10 +153,10 @@
 func do[T any](ctx context.Context, r *Relay, call func(context.Context, keyvalue.Service) (T, error)) (T, error) {
 	var zero T
 	err := error(errkind.Unavailable.New(remedy, "relay.do: direct calls to the store fail, and no other host is known or due for a retry"))
-	if r.tryDirect(time.Now()) {
+	if sent := time.Now(); r.tryDirect(sent) {
 		value, directErr := call(ctx, r.Direct)
 		if ctx.Err() == nil {
-			r.recordDirect(directErr)
+			r.recordDirect(directErr, sent)
 		}
 		if directErr == nil || !errkind.Unavailable.Is(directErr) {
 			return value, directErr
@@ -208,12 +219,13 @@
 	item, err := do(ctx, r, func(ctx context.Context, service keyvalue.Service) (*keyvalue.Item, error) {
 		return service.Get(ctx, key)
 	})
-	if !errkind.Unavailable.Is(err) || !r.tryDirectRead(time.Now()) {
+	sent := time.Now()
+	if !errkind.Unavailable.Is(err) || !r.tryDirectRead(sent) {
 		return item, err
 	}
 	item, err = r.Direct.Get(ctx, key)
 	if ctx.Err() == nil {
-		r.recordDirect(err)
+		r.recordDirect(err, sent)
 	}
 	return item, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -90,6 +90,74 @@
 	}
 }
 
+// Guards against: calls are kept from the store for a second after connections to it went silent, although new
+// ones work; calls to a store that does not answer at all hang one after the other.
+func TestStoreIsTriedAtOnceAfterUnansweredCalls(t *testing.T) {
+	for answers, want := range map[bool]int32{true: relayedAfter + 2, false: relayedAfter + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			direct := &faultyStore{Service: &batchstore.Store{}}
+			direct.ambiguous.Store(true)
+			r := newRelay(direct)
+			for range relayedAfter {
+				_, _ = r.Commit(t.Context(), createTxn("a"))
+			}
+			direct.ambiguous.Store(!answers)
+			_, err := r.Commit(t.Context(), createTxn("a"))
+			_, _ = r.Commit(t.Context(), createTxn("b"))
+			if have := direct.calls.Load(); (err == nil) != answers || have != want {
+				t.Errorf("the store answers again: %t: have %v and %d calls, want %d", answers, err, have, want)
+			}
+		})
+	}
+}
+
+// relayedAfter is the number of failures after which calls go through other hosts.
+const relayedAfter = 2
+
+// lateStore leaves the first calls unanswered for a second, and answers later ones at once.
+type lateStore struct {
+	keyvalue.Service
+	unanswered atomic.Int32
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn keyvalue.Txn) (keyvalue.TxnResult, error) {
+	if s.unanswered.Add(-1) < 0 {
+		return s.Service.Commit(ctx, txn)
+	}
+	time.Sleep(time.Second)
+	return keyvalue.TxnResult{}, errkind.Ambiguous.New("read back", "left unanswered by the test")
+}
+
+// Guards against: calls that hang on connections which went silent count against the store after a later call
+// was answered.
+func TestCallsBeforeTheLastAnswerDoNotCountAgainstTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &lateStore{Service: &batchstore.Store{}}
+		store.unanswered.Store(2 * relayedAfter)
+		r := newRelay(store)
+		ended := make(chan error, 2*relayedAfter)
+		for i := range 2 * relayedAfter {
+			go func() {
+				_, err := r.Commit(t.Context(), createTxn(string(rune('a'+i))))
+				ended <- err
+			}()
+		}
+		synctest.Wait()
+		time.Sleep(500 * time.Millisecond)
+		if _, err := r.Commit(t.Context(), createTxn("z")); err != nil {
+			t.Fatalf("Commit: %v", err)
+		}
+		for range 2 * relayedAfter {
+			if err := <-ended; !errkind.Ambiguous.Is(err) {
+				t.Errorf("call on a silent connection: have %v, want an ambiguous error", err)
+			}
+		}
+		if r.Failing() {
+			t.Error("the store counts as failing, though it answered the call that was sent last")
+		}
+	})
+}
+
 // A host whose own calls to the store fail refuses calls of other hosts without trying the
 // store for each of them.
 func TestHostWithoutTheStoreRefusesCallsOfOthers(t *testing.T) {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -51,6 +51,12 @@
 	// CheckAfter is how long a connection may be idle before it is checked that the peer has not
 	// closed it.
 	CheckAfter time.Duration
+	// SilentAfter is how long a call has to last to speak against the idle connections to the same address, if
+	// its time limit then ends it. 0: no call does.
+	SilentAfter time.Duration
+	// OnSilence, if set, is told of idle connections to an address that are given up, and of how long the call
+	// lasted that speaks against them.
+	OnSilence func(address string, connections int, lasted time.Duration)
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -80,16 +86,18 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
+	sent := time.Now()
 	response, err := c.exchange(request)
 	if err != nil {
 		stop()
 		c.Close()
+		p.unanswered(ctx, request.URL.Host, sent)
 		if cause := context.Cause(ctx); cause != nil {
 			return nil, cause
 		}
 		return nil, fmt.Errorf("Pool.RoundTrip: %w", err)
 	}
-	response.Body = &body{ReadCloser: response.Body, pool: p, connection: c, host: request.URL.Host, stop: stop, ctx: ctx, keep: !response.Close && !request.Close}
+	response.Body = &body{ReadCloser: response.Body, pool: p, connection: c, host: request.URL.Host, stop: stop, ctx: ctx, sent: sent, keep: !response.Close && !request.Close}
 	return response, nil
 }
 
@@ -173,6 +181,45 @@
 	p.idle[host] = append(p.idle[host], c)
 }
 
+// unanswered handles the end of a call without a whole answer. Connections may have gone silent, each without a
+// sign until it is used: if the call's time limit ended it, the connections that have been idle since before
+// it was sent are given up, so that they don't cost a call each. Those that have answered since are kept.
+func (p *Pool) unanswered(ctx context.Context, host string, sent time.Time) {
+	if p.SilentAfter <= 0 || time.Since(sent) < p.SilentAfter || ctx.Err() == nil || errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
+	if count := p.giveUp(host, sent); count > 0 && p.OnSilence != nil {
+		p.OnSilence(host, count, time.Since(sent))
+	}
+}
+
+// giveUp closes the connections to an address that have been idle since before a time, and returns how many.
+func (p *Pool) giveUp(host string, before time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := len(p.idle[host])
+	p.idle[host] = slices.DeleteFunc(p.idle[host], func(c *connection) bool {
+		if !c.idleSince.Before(before) {
+			return false
+		}
+		c.Close()
+		return true
+	})
+	return all - len(p.idle[host])
+}
+
+// CloseIdle closes the idle connections.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, kept := range p.idle {
+		for _, c := range kept {
+			c.Close()
+		}
+	}
+	clear(p.idle)
+}
+
 // sweep closes connections that were idle for longer than IdleTimeout. The caller holds mu.
 func (p *Pool) sweep() {
 	now := time.Now()
@@ -223,8 +270,10 @@
 	host       string
 	stop       func() bool
 	ctx        context.Context
-	keep       bool
-	done       bool
+	// sent is when the request was sent.
+	sent time.Time
+	keep bool
+	done bool
 }
 
 // Read reads from the body. An error other than io.EOF is the cause of the context's end, if it has
@@ -239,6 +288,7 @@
 		b.finish(b.keep)
 	case err != nil:
 		b.finish(false)
+		b.pool.unanswered(b.ctx, b.host, b.sent)
 		if cause := context.Cause(b.ctx); cause != nil {
 			err = cause
 		}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,8 +9,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/transport"
@@ -235,3 +237,132 @@
 		t.Errorf("have %d calls at the server, want 2", have)
 	}
 }
+
+// pipes dials in-memory connections to a peer that answers each request after a millisecond, but for the connections that were open
+// when it was silenced.
+type pipes struct {
+	mu     sync.Mutex
+	open   []*atomic.Bool
+	dialed int
+	// last is the connection that answered last.
+	last *atomic.Bool
+}
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	here, there := net.Pipe()
+	silent := &atomic.Bool{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open, p.dialed = append(p.open, silent), p.dialed+1
+	go func() {
+		defer there.Close()
+		for reader := bufio.NewReader(there); readRequest(reader) == nil; {
+			time.Sleep(time.Millisecond)
+			if !silent.Load() {
+				p.mu.Lock()
+				p.last = silent
+				p.mu.Unlock()
+				_, _ = io.WriteString(there, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}()
+	return here, nil
+}
+
+func (p *pipes) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, silent := range p.open {
+		silent.Store(true)
+	}
+}
+
+// callAll makes calls at once, so that each has a connection of its own, and returns how many were answered.
+func callAll(ctx context.Context, client *http.Client, count int) int {
+	answers := make(chan bool, count)
+	for range count {
+		go func() {
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://192.0.2.1:80", nil)
+			if err == nil {
+				var response *http.Response
+				if response, err = client.Do(request); err == nil {
+					_, err = io.Copy(io.Discard, response.Body)
+				}
+			}
+			answers <- err == nil
+		}()
+	}
+	answered := 0
+	for range count {
+		if <-answers {
+			answered++
+		}
+	}
+	return answered
+}
+
+// Guards against: after the open connections to a peer went silent, each of them costs a call of its own its
+// answer, although new connections work.
+func TestOneUnansweredCallGivesUpTheConnectionsThatWereIdle(t *testing.T) {
+	const idle = 6
+	for name, c := range map[string]struct {
+		// limit is how long the first call after the silence waits, and gives says that its caller gives it up then.
+		limit       time.Duration
+		gives       bool
+		wantDialled int
+	}{
+		"unanswered":                  {time.Second, false, idle + 1},
+		"given up by its caller":      {time.Second, true, idle},
+		"with little time for answer": {10 * time.Millisecond, false, idle},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			peer := &pipes{}
+			pool := &transport.Pool{Dial: peer.dial, MaxIdlePerHost: idle, IdleTimeout: time.Minute, SilentAfter: 250 * time.Millisecond}
+			client := &http.Client{Transport: pool}
+			if answered := callAll(t.Context(), client, idle); answered != idle {
+				t.Fatalf("%s: have %d calls answered, want %d", name, answered, idle)
+			}
+			time.Sleep(time.Second)
+			peer.silence()
+			ctx, cancel := context.WithTimeout(t.Context(), c.limit)
+			if c.gives {
+				ctx, cancel = context.WithCancel(t.Context())
+				time.AfterFunc(c.limit, cancel)
+			}
+			defer cancel()
+			callAll(ctx, client, 1)
+			nextCtx, cancelNext := context.WithTimeout(t.Context(), time.Second)
+			defer cancelNext()
+			answered := callAll(nextCtx, client, 1)
+			if want := c.wantDialled - idle; answered != want || peer.dialed != c.wantDialled {
+				t.Errorf("%s: have %d of 1 next calls answered and %d connections, want %d and %d", name, answered, peer.dialed, want, c.wantDialled)
+			}
+			pool.CloseIdle()
+		})
+	}
+}
+
+// Guards against: connections that have answered meanwhile are given up for a call that is slow alone.
+func TestConnectionsThatAnswerAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peer := &pipes{}
+		pool := &transport.Pool{Dial: peer.dial, MaxIdlePerHost: 4, IdleTimeout: time.Minute, SilentAfter: 250 * time.Millisecond}
+		client := &http.Client{Transport: pool}
+		callAll(t.Context(), client, 2)
+		callAll(t.Context(), client, 1)
+		peer.last.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		ended := make(chan int, 1)
+		go func() { ended <- callAll(ctx, client, 1) }()
+		time.Sleep(500 * time.Millisecond)
+		callAll(t.Context(), client, 1)
+		if answered := <-ended; answered != 0 {
+			t.Fatalf("have %d calls answered on a silent connection", answered)
+		}
+		if answered := callAll(t.Context(), client, 1); answered != 1 || peer.dialed != 2 {
+			t.Errorf("have %d calls answered and %d connections, want 1 on the other open one of 2", answered, peer.dialed)
+		}
+		pool.CloseIdle()
+	})
+}
