A target that started again gets work by its own entry only

Cause: a report names the incarnation that runs, and the entry in the store says of what kind it is. The report came first, and the planner took the new incarnation over with the labels, capacity, service and zone of the former one.

Change: a target is given no work while its entry is of another incarnation than the one that reports (entryBorn). Entries of former ones, also if they lapse and return, don't change that. While the store is away such a target gets nothing; no start could be recorded then. The gauge target.awaitsEntry counts them, and `target listed` is logged with the new entry.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -282,6 +282,7 @@
 	metrics.GetOrRegisterGauge("target.suspect", s.Metrics).Update(int64(s.plan.SuspectTargets()))
 	metrics.GetOrRegisterGauge("target.cold", s.Metrics).Update(int64(s.plan.ColdTargets(now)))
 	metrics.GetOrRegisterGauge("target.onProbation", s.Metrics).Update(int64(s.plan.TargetsOnProbation()))
+	metrics.GetOrRegisterGauge("target.awaitsEntry", s.Metrics).Update(int64(s.plan.TargetsAwaitingEntry()))
 	for _, id := range s.plan.TargetsToReport(now) {
 		notify(s.agent(id).renewSignal)
 	}
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -41,6 +41,9 @@
 type node struct {
 	target.Listing
 	listed bool
+	// entryBorn is the incarnation that wrote the entry. While it is not Born, what the entry says of the
+	// target (labels, capacity, service, zone) may not hold any more.
+	entryBorn int64
 	// drainsSince is when the target said that it drains, on the planner's clock; zero if it does not.
 	drainsSince time.Time
 	// incarnationSince is when the planner first heard of the incarnation Born, and
@@ -163,7 +166,7 @@
 		s.recordIncarnation(now, n, listing.Born)
 	}
 	n.recordCold(now, listing)
-	if !n.listed || n.Draining != listing.Draining {
+	if !n.listed || n.Draining != listing.Draining || n.entryBorn != listing.Born {
 		s.log("target listed", n.fields(now).with(Fields{
 			"born": listing.Born, "formerBorn": n.Born, "entryClock": listing.Clock, "runs": len(n.members),
 			"draining": listing.Draining, "left": listing.DrainRemaining, "zone": listing.Zone, "rack": listing.Rack, "cold": s.coldLeft(now, n),
@@ -175,13 +178,28 @@
 	case n.drainsSince.IsZero():
 		n.drainsSince = now.Add(-n.age(now, listing))
 	}
-	n.Listing, n.listed = listing, true
+	n.Listing, n.listed, n.entryBorn = listing, true, listing.Born
 	s.load.recordCapacity(listing.Service, listing.Capacity)
 	if !n.contacted && listing.Clock > n.clockLowerBound(now) {
 		n.clock, n.clockAt = listing.Clock, now
 	}
 }
 
+// awaitsEntry reports whether the target has started again and no entry of the new incarnation is known.
+func (n *node) awaitsEntry() bool { return n.listed && n.entryBorn != n.Born }
+
+// TargetsAwaitingEntry counts the targets that get no work because they have started again and their new
+// incarnation, which may be of another kind, has written no entry yet.
+func (s *Scheduler) TargetsAwaitingEntry() int {
+	count := 0
+	for _, n := range s.ordered {
+		if n.awaitsEntry() {
+			count++
+		}
+	}
+	return count
+}
+
 // age returns how long ago an entry was written, by the target's own clock; 0 if that is not known.
 func (n *node) age(now time.Time, listing target.Listing) time.Duration {
 	if n.clockAt.IsZero() || listing.Clock == 0 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -131,7 +131,7 @@
 
 // isEligible reports whether a target may be given new work.
 func (p *pass) isEligible(n *node, ignorePauses bool) bool {
-	if !n.listed || n.Draining || p.s.isCordoned(n) || !n.contacted || n.suspect || n.unresponsive(p.now) || p.s.isWithheld(n.ID) {
+	if !n.listed || n.awaitsEntry() || n.Draining || p.s.isCordoned(n) || !n.contacted || n.suspect || n.unresponsive(p.now) || p.s.isWithheld(n.ID) {
 		return false
 	}
 	until := n.refusedUntil
