A start reaches only the incarnation whose report it follows from

X-Expected-Instance holds the ID only, which stays.

Change: a start is sent on a connection that was open when the last report was requested; connections end with the process. If none is left, the start waits for a report that is asked for at once. After three such in a row for one incarnation any connection does (targets that close each after a response). Report.Requested is when the request went out, so that the connection it went out on counts, for acknowledgements too.

Evidence: TestNoStartReachesAnIncarnationThatHasNotReported failed before ("was sent to t1 by what its incarnation 1048579 was, and arrived at 1048580", 24 starts); the stand-in's targets check each start for that, so the proof of batch jobs does too.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -26,6 +26,9 @@
 	// maxLeftOut is how many acknowledgements in a row may be left out for want of a connection that
 	// was open before: a target may close each after a response.
 	maxLeftOut = 3
+	// maxUnverified is the same for starts that are not sent: after so many in a row a start is sent on any
+	// connection.
+	maxUnverified = 3
 )
 
 // agent communicates with one target. One goroutine renews the leases there and reads the
@@ -41,8 +44,9 @@
 	// reportRequested is when the renewal was sent that the incarnation reportedBy answered last.
 	reportRequested time.Time
 	reportedBy      int64
-	// leftOut counts the renewals in a row of which the acknowledgement was left out.
-	leftOut int
+	// leftOut counts the renewals in a row of which the acknowledgement was left out, and unverified the starts
+	// to the incarnation reportedBy in a row that were not sent.
+	leftOut, unverified int
 	// unanswered says that the last renewal, or a request for a report since, was not answered.
 	unanswered bool
 	// nextCheck is how long the target needs no renewal, as the last call of nextRenewal found. Only the
@@ -235,6 +239,22 @@
 	return true
 }
 
+// recordRequest records when a report of the incarnation born was requested that has been processed. The
+// session's lock must be held.
+func (a *agent) recordRequest(sent time.Time, report target.Report, born int64) {
+	if report.Born != 0 && report.Born != born {
+		return
+	}
+	if report.Requested.After(sent) {
+		sent = report.Requested
+	}
+	if born != a.reportedBy {
+		a.reportRequested, a.reportedBy, a.unverified = sent, born, 0
+	} else if sent.After(a.reportRequested) {
+		a.reportRequested = sent
+	}
+}
+
 // processReport passes the report of a renewal that was meant for the incarnation born to the
 // scheduler. It returns true if the effects of some ended runs are not durable yet.
 func (a *agent) processReport(sent time.Time, born int64, order target.RenewOrder, report target.Report) bool {
@@ -255,9 +275,7 @@
 	quiet := !before.HasRuns && !before.NeedsReport && len(report.Running)+len(report.Ended) == 0 && report.Born == before.Listing.Born
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
 	after := s.plan.TargetStatus(time.Now(), a.targetID)
-	if report.Born == 0 || report.Born == after.Listing.Born {
-		a.reportRequested, a.reportedBy = sent, after.Listing.Born
-	}
+	a.recordRequest(sent, report, after.Listing.Born)
 	waiting := after.LastEnd > a.durableIn(after.Listing.Born)
 	s.mu.Unlock()
 	if !quiet {
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -71,6 +71,7 @@
 	switch reply.Answer {
 	case target.Accepted:
 		s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
+		a.recordRequest(sent, report, s.plan.TargetStatus(time.Now(), a.targetID).Listing.Born)
 	case target.Fenced:
 		s.cancel(errFenced)
 	default:
@@ -157,6 +158,9 @@
 	order := target.StartOrder{
 		Run: start.Run, Payload: payload, Checkpoint: checkpoint, FenceToken: s.currentTerm.Token, Deadline: s.plan.Deadline(time.Now(), a.targetID),
 	}
+	if a.reportedBy == to.Born && a.unverified < maxUnverified {
+		order.ReportRequested = a.reportRequested
+	}
 	s.mu.Unlock()
 	if !wanted {
 		return
@@ -164,7 +168,12 @@
 	sent := time.Now()
 	reply := s.Targets.Start(ctx, to, order)
 	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
+	if reply.Answer == target.Unverified {
+		a.verify(ctx, start)
+		return
+	}
 	s.mu.Lock()
+	a.unverified = 0
 	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
 	s.plan.StartAnswered(time.Now(), start, reply)
 	s.mu.Unlock()
@@ -173,6 +182,17 @@
 	}
 }
 
+// verify asks the target for a report before a start is sent: no connection is open that was so when the last one
+// was requested, so it may have started again, as another kind of target.
+func (a *agent) verify(ctx context.Context, start scheduler.Start) {
+	a.session.mu.Lock()
+	a.unverified++
+	a.session.plan.StartNotSent(start)
+	a.session.mu.Unlock()
+	a.askForReport(ctx)
+	a.start(start)
+}
+
 // recordReply counts and logs the answer to an order. A fenced order ends the term. Each answer
 // to a start is logged, since any is final, and each accepted stop.
 func (a *agent) recordReply(kind string, reply target.Reply, fields log.Fields) {
--- a/internal/coordinator/orders_test.go
+++ b/internal/coordinator/orders_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
+	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
 
 // Guards against work on a target that leaves: a start without an answer is not repeated once the target
@@ -59,3 +60,24 @@
 		}
 	})
 }
+
+// Guards against: a start that is placed by what a target was reaches the next incarnation, which may be of another
+// kind, before the planner has heard of it.
+func TestNoStartReachesAnIncarnationThatHasNotReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(10 * time.Second)
+		for i := range targetCount {
+			d.born[i]++
+			d.fleet.Add(listing(i, d.born[i]))
+		}
+		d.submitStep(workload.Step{Count: 4 * targetCount, Estimate: time.Second, Needs: workload.Resources{Accelerators: 1}})
+		time.Sleep(100 * time.Millisecond)
+		for i := range targetCount {
+			d.list(i)
+		}
+		for _, violation := range d.recoverAndCheck() {
+			t.Error(violation)
+		}
+	})
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -291,6 +291,17 @@
 	return true
 }
 
+// StartNotSent handles a start that was not sent after all, because its target may have started again. A first
+// one waits again as before StartSent.
+func (s *Scheduler) StartNotSent(start Start) {
+	if n := s.nodes[start.Target]; n != nil {
+		delete(n.startsUnderWay, start.Run)
+	}
+	if m := s.member(start.Target, start.Run); m != nil && m.state == memberStartSent && !m.startUnanswered {
+		m.state = memberAwaitingWrite
+	}
+}
+
 // StartHeldBack handles a start whose target is suspect, unresponsive or withheld. A start that was never sent
 // is withdrawn, so that its task can start elsewhere at once. It reports whether the start is still wanted:
 // one that was sent before may be repeated.
--- a/internal/standin/batchtarget/batchtarget.go
+++ b/internal/standin/batchtarget/batchtarget.go
@@ -164,6 +164,14 @@
 	if t == nil {
 		return target.Reply{Answer: failure}
 	}
+	if !order.ReportRequested.IsZero() && t.started.After(order.ReportRequested) {
+		// No connection is left that was open then.
+		f.mu.Unlock()
+		return target.Reply{Answer: target.Unverified}
+	}
+	if t.listing.Born != to.Born {
+		f.addViolation("kind: %s was sent to %s by what its incarnation %d was, and arrived at %d", order.Run, to.ID, to.Born, t.listing.Born)
+	}
 	f.lastStart = time.Now()
 	f.checkCordon(t, order)
 	if t.lateOrders > 0 {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -102,6 +102,9 @@
 	Ended []Ended
 	// Acknowledged is the number that the renewal acknowledged.
 	Acknowledged int64
+	// Requested is when the request for the report was sent, to the process that answered it; zero if that is
+	// not known.
+	Requested time.Time
 }
 
 // StartOrder orders a target to start a run.
@@ -114,6 +117,9 @@
 	FenceToken int64
 	Checkpoint string
 	Ticket     string
+	// ReportRequested is when a report was requested of the incarnation that the order is meant for. One that
+	// began after that is not sent it; zero means that any incarnation is.
+	ReportRequested time.Time
 }
 
 // RenewOrder extends the leases of all runs on a target and requests a report.
@@ -159,14 +165,17 @@
 	Unanswered
 	// Unreached means that no connection to the target could be opened, so that the order was not sent.
 	Unreached
+	// Unverified means that the order was not sent because the target may have started again since
+	// StartOrder.ReportRequested.
+	Unverified
 )
 
-var answerNames = [...]string{"accepted", "fenced", "outdated", "late", "noRoom", "noTicket", "unhealthy", "wrongLife", "invalid", "unanswered", "unreached"}
+var answerNames = [...]string{"accepted", "fenced", "outdated", "late", "noRoom", "noTicket", "unhealthy", "wrongLife", "invalid", "unanswered", "unreached", "unverified"}
 
 func (a Answer) String() string { return answerNames[a] }
 
 // Arrived reports whether the target has answered.
-func (a Answer) Arrived() bool { return a != Unanswered && a != Unreached }
+func (a Answer) Arrived() bool { return a != Unanswered && a != Unreached && a != Unverified }
 
 // Reply is an answer with the time on the target's own clock.
 type Reply struct {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -39,6 +39,14 @@
 	return context.WithValue(ctx, openSinceKey{}, at)
 }
 
+type sentAtKey struct{}
+
+// RecordSent returns a context for a call that records in at when its request began to be sent, on a connection
+// that was open by then. It leaves at as it is if the request was not sent.
+func RecordSent(ctx context.Context, at *time.Time) context.Context {
+	return context.WithValue(ctx, sentAtKey{}, at)
+}
+
 // Pool is an http.RoundTripper that keeps idle connections for later calls. It never sends a request
 // twice. Set the fields before the first call.
 type Pool struct {
@@ -87,6 +95,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(longAgo) })
 	sent := time.Now()
+	if at, ok := ctx.Value(sentAtKey{}).(*time.Time); ok {
+		*at = sent
+	}
 	response, err := c.exchange(request)
 	if err != nil {
 		stop()
