Overdue guarantees stop tasks that last, and runs of priority 0 beyond other guarantees

Change: for an overdue guarantee, and nothing else, victims come in three classes, each only where those before don't free enough: runs that end, of lower priority; long-running ones of lower priority; runs of priority 0 beyond their own organisation's guarantee. All tasks of the step get room at once. MaxUnavailable holds: a step's tasks that are not at work count as away. A stopped task starts again with the place of a new one, since a long-running job is never late; those stopped least are stopped first.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -193,11 +193,16 @@
 	}
 	out := map[string]bool{}
 	for organisation, need := range needs {
-		out[organisation] = need <= s.catalogue.Organisations[organisation].GuaranteedAccelerators
+		out[organisation] = need <= s.guarantee(organisation)
 	}
 	return out
 }
 
+// guarantee returns how many accelerators an organisation is guaranteed for its jobs of priority 0.
+func (s *Scheduler) guarantee(organisation string) int64 {
+	return s.catalogue.Organisations[organisation].GuaranteedAccelerators
+}
+
 // score returns the value that the job still has for each target-second that it still needs. It
 // sets the candidate's value, weight and slack.
 func (s *Scheduler) score(now time.Time, c *candidate) float64 {
@@ -214,6 +219,10 @@
 	}
 	lateness := s.lateness(st.occurrence)
 	finish := now.Add(timeLeft).Sub(st.occurrence.due)
+	if st.spec.LongRunning {
+		// Its tasks are never late: one that has to start again has the place of a new one.
+		finish = timeLeft
+	}
 	duration := s.taskDuration(st)
 	c.slack, c.expirySlack = (lateness.Objective - finish + duration).Seconds(), (lateness.Expiry - finish + duration).Seconds()
 	c.weight = s.weight(st.job)
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -59,6 +59,7 @@
 	}
 	clear(p.unplaceable)
 	clear(p.couldHold)
+	p.covered, p.urgentUse = nil, nil
 	clear(p.usage)
 	for i := range p.racks {
 		p.racks[i], p.rackFree[i] = p.racks[i][:0], workload.Resources{}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -81,6 +81,10 @@
 	reservations int
 	// restricted counts the targets with a restriction.
 	restricted int
+	// covered says, by organisation, whether its guarantee covers all its open jobs of priority 0, and urgentUse
+	// how many accelerators its runs of priority 0 use. Both are nil until they are needed.
+	covered   map[string]bool
+	urgentUse map[string]int64
 	// searches counts the searches for runs to stop that found none worthwhile.
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -28,20 +28,15 @@
 	likelyLate = 0.5
 )
 
-// victim is a unit whose run could be stopped to free capacity.
-type victim struct {
-	unit *unit
-	// loss is the value that stopping it costs, and rank is that times the share factor of its organisation:
-	// those above their fair part lose runs first, but no more runs are stopped for that.
-	loss, rank float64
-}
-
 // preempt stops less important runs so that a candidate of priority 0 fits, if the job's value
 // outweighs the loss or its guarantee is overdue. It reports whether capacity is reserved.
 func (p *pass) preempt(c *candidate) bool {
 	if !c.guaranteeOverdue && (p.searches >= maxSearches || p.now.Before(c.step.searchAgainAt)) {
 		return false
 	}
+	if c.guaranteed && !c.guaranteeOverdue {
+		p.s.wakeAt(c.step.occurrence.due.Add(guaranteeWait))
+	}
 	if found := p.waitable(c); found != nil {
 		p.waitFor(c, found)
 		return true
@@ -54,9 +49,6 @@
 	// A guarantee is met in any case, but before a costly stop the job waits for
 	// guaranteeWait, in which capacity may become free.
 	if !c.guaranteeOverdue && best.loss > best.value*maxLossShare {
-		if c.guaranteed {
-			p.s.wakeAt(c.step.occurrence.due.Add(guaranteeWait))
-		}
 		p.searchFailed(c)
 		return false
 	}
@@ -100,6 +92,10 @@
 // value that the job then has is smallest; nil if there are none.
 func (p *pass) preemption(c *candidate) *preemption {
 	count := c.step.spec.Members()
+	if c.guaranteeOverdue {
+		// All tasks of the step have to begin, and each stop takes time.
+		count *= len(c.startableUnits) - c.placed
+	}
 	var best *preemption
 	for _, openNodes := range p.nodeSets(c, count) {
 		for _, mayBeLate := range []bool{false, true} {
@@ -107,7 +103,7 @@
 			if found == nil {
 				continue
 			}
-			if best == nil || found.loss-found.value < best.loss-best.value {
+			if best == nil || cmp.Or(cmp.Compare(found.class, best.class), cmp.Compare(found.loss-found.value, best.loss-best.value)) < 0 {
 				best = found
 			}
 		}
@@ -139,11 +135,13 @@
 	for _, n := range found.openNodes {
 		n.reserved = c.step
 	}
+	p.urgentUse = nil
 	for _, v := range found.victims {
 		v.unit.preempted++
 		p.s.dirty[v.unit.step.job.ID] = v.unit.step.job
 		p.s.stopUnitWith(p.now, v.unit, "preempted for job "+c.step.job.ID, Fields{
 			"for": c.step.job.ID, "loss": v.loss, "totalLoss": found.loss, "gain": found.value, "guaranteeOverdue": c.guaranteeOverdue, "preempted": v.unit.preempted,
+			"longRunning": v.unit.step.spec.LongRunning,
 		})
 	}
 }
@@ -152,12 +150,14 @@
 type preemption struct {
 	openNodes []*freeCapacity
 	victims   []victim
+	// class is the highest of the victims' classes.
+	class victimClass
 	// loss is the value that the stops cost, and value what the candidate's job is then worth.
 	loss, value float64
 }
 
 // clear finds the cheapest runs to stop on openNodes so that count members fit; nil if they do
-// not fit even then. Runs that are expected to end within wait count as ended; no others are stopped if
+// not fit even then. For single tasks of an overdue guarantee it makes room for as many as it can. Runs that are expected to end within wait count as ended; no others are stopped if
 // mayStop is false.
 func (p *pass) clear(c *candidate, openNodes []*freeCapacity, count int, wait time.Duration, mayStop bool) *preemption {
 	var options []clearOption
@@ -165,30 +165,15 @@
 		if (n.reserved != nil && n.reserved != c.step) || !p.mayRunOn(c, n) {
 			continue
 		}
-		if o := p.clearTarget(c, n, count, p.now.Add(wait), mayStop); o.maxMembers > 0 {
-			options = append(options, o)
-		}
+		options = append(options, p.clearTarget(c, n, count, p.now.Add(wait), mayStop)...)
 	}
 	slices.SortStableFunc(options, func(a, b clearOption) int {
-		return cmp.Or(cmp.Compare(a.rank/float64(a.maxMembers), b.rank/float64(b.maxMembers)), cmp.Compare(b.maxMembers, a.maxMembers))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rank, b.rank), cmp.Compare(a.order, b.order), cmp.Compare(b.members, a.members))
 	})
-	found := &preemption{}
-	missing := count
-	counted := map[*unit]bool{}
-	for _, o := range options {
-		if missing <= 0 {
-			break
-		}
-		missing -= o.maxMembers
-		found.openNodes = append(found.openNodes, o.n)
-		for _, v := range o.victims {
-			if !counted[v.unit] {
-				counted[v.unit] = true
-				found.victims, found.loss = append(found.victims, v), found.loss+v.loss
-			}
-		}
-	}
-	if missing > 0 {
+	found, missing := p.cheapest(options, count)
+	// Single tasks that a guarantee covers don't wait for each other.
+	inPart := c.guaranteeOverdue && !c.step.spec.Gang && missing < count
+	if missing > 0 && !inPart {
 		return nil
 	}
 	slowest := math.Inf(1)
@@ -199,19 +184,49 @@
 	return found
 }
 
-// clearOption is a target with the runs to stop there for a candidate.
+// cheapest takes options in their order until count members fit, and returns for how many no room was found.
+func (p *pass) cheapest(options []clearOption, count int) (found *preemption, missing int) {
+	found, missing = &preemption{}, count
+	budget, counted, taken := p.newStopBudget(), map[*unit]bool{}, map[*freeCapacity]int{}
+	for _, o := range options {
+		if missing <= 0 {
+			break
+		}
+		// Those of one target build on each other. A gang may be a victim on several targets.
+		further := slices.DeleteFunc(slices.Clone(o.victims), func(v victim) bool { return counted[v.unit] })
+		if taken[o.n] != o.order || !budget.spend(further) {
+			continue
+		}
+		if taken[o.n]++; o.order == 0 {
+			found.openNodes = append(found.openNodes, o.n)
+		}
+		missing, found.class = missing-o.members, max(found.class, o.class)
+		for _, v := range further {
+			counted[v.unit] = true
+			found.victims, found.loss = append(found.victims, v), found.loss+v.loss
+		}
+	}
+	return found, missing
+}
+
+// clearOption is a target with runs to stop there for a candidate, in addition to those of the target's options
+// of a lower order.
 type clearOption struct {
 	n       *freeCapacity
 	victims []victim
-	// rank is the sum of the victims' ranks.
-	rank float64
-	// maxMembers is how many tasks of the candidate then fit there.
-	maxMembers int
+	// members is how many more tasks of the candidate then fit there.
+	members int
+	// class is the highest of the victims' classes, and rank the sum of their ranks for each member. Neither is
+	// below that of the option before.
+	class victimClass
+	rank  float64
+	order int
 }
 
-// clearTarget finds the runs to stop on one target so that at least one of count tasks fits there. Runs that
-// are expected to end by until count as ended.
-func (p *pass) clearTarget(c *candidate, n *freeCapacity, count int, until time.Time, mayStop bool) clearOption {
+// clearTarget finds the runs to stop on one target so that up to count tasks fit there. Runs that are expected
+// to end by until count as ended. If the candidate's guarantee is overdue, so that all its tasks have to begin,
+// each further task is an option of its own; otherwise the first that fit are the only one.
+func (p *pass) clearTarget(c *candidate, n *freeCapacity, count int, until time.Time, mayStop bool) []clearOption {
 	r := c.roomOn(n)
 	// Capacity of runs that are being stopped already, or are about to end, costs nothing more.
 	for _, m := range n.sorted {
@@ -219,59 +234,43 @@
 			r.release(m.unit.step)
 		}
 	}
-	o := clearOption{n: n, maxMembers: r.holds(count)}
-	if o.maxMembers != 0 || !mayStop {
-		return o
+	var options []clearOption
+	members := r.holds(count)
+	if members > 0 {
+		options = append(options, clearOption{n: n, members: members})
+	}
+	if !mayStop || (members > 0 && !c.guaranteeOverdue) {
+		return options
 	}
+	budget, next := p.newStopBudget(), clearOption{n: n, order: len(options)}
 	for _, v := range p.victims(n) {
-		if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) {
+		if members >= count {
+			break
+		}
+		if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) || !budget.spend([]victim{v}) {
 			continue
 		}
-		o.victims, o.rank = append(o.victims, v), o.rank+v.rank
+		next.victims, next.rank, next.class = append(next.victims, v), next.rank+v.rank, max(next.class, v.class)
 		for _, m := range v.unit.members {
 			if m.node == n.node {
 				r.release(v.unit.step)
 			}
 		}
-		if o.maxMembers = r.holds(count); o.maxMembers > 0 {
-			break
-		}
-	}
-	return o
-}
-
-// victims returns the units on a target in the order of the loss that stopping them costs, the
-// cheapest first.
-func (p *pass) victims(n *freeCapacity) []victim {
-	if n.hasVictims {
-		return n.victims
-	}
-	n.victims, n.hasVictims = n.victims[:0], true
-	for _, m := range n.sorted {
-		u := m.unit
-		known := func(v victim) bool { return v.unit == u }
-		if m.state == memberAwaitingWrite || u.step.spec.LongRunning || slices.ContainsFunc(n.victims, known) {
+		fitting := r.holds(count)
+		if fitting <= members {
 			continue
 		}
-		n.victims = append(n.victims, newVictim(u, p.s.loss(p.now, u), p.s.shareFactor(u.step.job)))
-	}
-	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Compare(a.rank, b.rank) })
-	return n.victims
-}
-
-func newVictim(u *unit, loss, shareFactor float64) victim {
-	return victim{unit: u, loss: loss, rank: loss * shareFactor}
-}
-
-// isVictim reports whether a unit may be stopped on a target for a candidate: it is less important,
-// not being stopped there already, and has not been stopped as often as the policy allows. An overdue
-// guarantee is not bound by that limit.
-func (p *pass) isVictim(u *unit, c *candidate, n *freeCapacity) bool {
-	if u.step.job.terms.Priority <= c.step.job.terms.Priority {
-		return false
-	}
-	if u.preempted >= p.s.Limits.Policy.MaxPreemptions && !c.guaranteeOverdue {
-		return false
+		next.members = fitting - members
+		next.rank /= float64(next.members)
+		if len(options) > 0 {
+			last := options[len(options)-1]
+			next.class, next.rank = max(next.class, last.class), max(next.rank, last.rank)
+		}
+		options, members = append(options, next), fitting
+		if !c.guaranteeOverdue {
+			break
+		}
+		next = clearOption{n: n, order: len(options)}
 	}
-	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
+	return options
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -31,6 +31,8 @@
 	slowAfter = 2500 * time.Millisecond
 	// nearlyDonePercent is the progress from which a run is not moved any more.
 	nearlyDonePercent = 90
+	// percentAtWork is the progress of a long-running task that has got through its startup.
+	percentAtWork = 100
 	// spreadWeight is the weight of one step in the spread of its queue's estimates, which
 	// starts at firstSpread and stays between minSpread and maxSpread.
 	spreadWeight         = 0.1
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -83,7 +83,7 @@
 			m.unit.startedAt = now
 		}
 	}
-	m.listedBy = n.Born
+	m.listedBy, m.atWork = n.Born, running.Percent >= percentAtWork
 	u := m.unit
 	if running.Checkpoint != "" {
 		u.checkpoint = running.Checkpoint
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -38,7 +38,7 @@
 			{Name: "urgent", Service: "s", Priority: 0, MaxAttempts: 3, StretchFactor: 2},
 			{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 3, StretchFactor: 3},
 		},
-		Organisations: map[string]catalogue.Organisation{"o": {Name: "o", GuaranteedAccelerators: 8}, "guaranteed": {Name: "guaranteed", GuaranteedAccelerators: 64}},
+		Organisations: map[string]catalogue.Organisation{"o": {Name: "o", GuaranteedAccelerators: 8}, "guaranteed": {Name: "guaranteed", GuaranteedAccelerators: 64}, "small guarantee": {GuaranteedAccelerators: 4}},
 	})
 	for i := range targets {
 		f.TargetListed(f.now, f.listing(i))
--- a/internal/scheduler/value.go
+++ b/internal/scheduler/value.go
@@ -84,6 +84,9 @@
 // lies idle until the unit runs again, at its price, and the part of its job's value that the delay puts at risk.
 func (s *Scheduler) loss(now time.Time, u *unit) float64 {
 	st := u.step
+	if st.spec.LongRunning {
+		return s.lossOfLasting(u)
+	}
 	lost := runningFor(now, u)
 	if st.spec.Checkpointing {
 		// A stop makes a checkpoint, so only the restart is lost. It counts as at most one
@@ -95,6 +98,15 @@
 	return capacity*s.price(service) + s.valueAtRisk(now, u, lost)
 }
 
+// lossOfLasting returns the value that stopping a unit of long-running tasks costs: no work is lost, but these
+// tasks don't serve until they run again. It grows with the stops already made of the unit, so that others of
+// the step are stopped first.
+func (s *Scheduler) lossOfLasting(u *unit) float64 {
+	st := u.step
+	idle := (s.Limits.StopTime + stepMargin).Seconds() * s.targetShare(st.spec) * float64(len(u.members))
+	return idle*s.price(st.job.terms.Service) + s.weight(st.job)*float64(1+u.preempted)*float64(st.spec.Members())/float64(st.spec.Count)
+}
+
 // valueAtRisk returns the part of its job's value that stopping a unit puts at risk. The job ends with its
 // last unit, so the whole job is delayed by the work that is lost, the stop and the wait for capacity. The
 // part is that delay's share of the time that is left until the job expires: after the objective that is
