Tasks that last return to a sound target on probation at once

Cause: whether other targets could hold such a task was asked of their whole capacity, which other lasting tasks use for good.

Evidence: TestLastingTasksReturnToATargetOnProbation fails with the whole capacity in that place ("have 0 starts after the pause").

--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -172,3 +172,25 @@
 		t.Errorf("have %d targets on probation after a run made no progress for 5 s, want 1", have)
 	}
 }
+
+// Guards against: tasks that last wait for a sound target that is on probation, because others could hold them if
+// these were not full of such tasks for good.
+func TestLastingTasksReturnToATargetOnProbation(t *testing.T) {
+	f := newFixture(t, 8)
+	f.submit("lasting", "batch", lastingStep(64, 1))
+	failing := target.Report{}
+	for _, s := range f.startAll() {
+		if s.Target == "t0" {
+			failing.Ended = append(failing.Ended, target.Ended{Run: s.Run, Number: int64(len(failing.Ended) + 1), Outcome: target.Failed})
+		}
+	}
+	f.advance(time.Second)
+	f.report(0, failing)
+	if have := f.TargetsOnProbation(); have != 1 || len(failing.Ended) != 8 {
+		t.Fatalf("have %d targets on probation and %d failures, want 1 and 8", have, len(failing.Ended))
+	}
+	f.advance(2 * time.Second)
+	if starts := f.startAll(); len(starts) != 8 {
+		t.Errorf("have %d starts after the pause, want all 8 on t0", len(starts))
+	}
+}
