Overdue guarantees take the stops that make room for most tasks

Found in the read-through: room for a part of a step on fast targets only could be taken for less loss before room for all of it on all targets. Stops are compared by what stays without room first. keptOut is a plain bool now, and pass.preemption says less.

--- a/internal/scheduler/candidates.go
+++ b/internal/scheduler/candidates.go
@@ -101,8 +101,9 @@
 	// usesHeadroom says that the job may use what is kept for priority 0, and usesReserved that the step may
 	// use what is reserved for others that wait.
 	usesHeadroom, usesReserved bool
-	// keptOut says that the last search met a target with free capacity that is kept for others.
-	keptOut keptOut
+	// keptOut says that the last search met a target with free capacity that is reserved for others, or kept for
+	// priority 0.
+	keptOut bool
 	// placed counts the units that were started in this pass.
 	placed int
 }
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -55,7 +55,7 @@
 // empty empties the lists of the last pass and keeps their memory.
 func (p *pass) empty() {
 	if p.unplaceable == nil {
-		p.unplaceable, p.couldHold, p.rackIndex, p.usage = map[unitRequirements]keptOut{}, map[unitRequirements]bool{}, map[string]int{}, map[string]*usage{}
+		p.unplaceable, p.couldHold, p.rackIndex, p.usage = map[unitRequirements]bool{}, map[unitRequirements]bool{}, map[string]int{}, map[string]*usage{}
 	}
 	clear(p.unplaceable)
 	clear(p.couldHold)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -89,7 +89,7 @@
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
 	// pass, and whether some had but for what is kept for others.
-	unplaceable map[unitRequirements]keptOut
+	unplaceable map[unitRequirements]bool
 }
 
 // unitRequirements are the properties of a unit that decide whether it fits anywhere. When a
@@ -111,9 +111,6 @@
 	limited *step
 }
 
-// keptOut says that there is free capacity for a unit which is reserved for others, or kept for priority 0.
-type keptOut bool
-
 // place starts the units for which there is free capacity, in the order of the candidates.
 func (s *Scheduler) place(now time.Time) {
 	candidates := s.candidates(now)
@@ -157,8 +154,8 @@
 	for _, u := range c.startableUnits {
 		requirements := c.requirements()
 		requirements.mayBeTrial = p.restricted > 0 && c.mayBeTrial(u, p.runSeconds(c, 1))
-		if kept, known := p.unplaceable[requirements]; known {
-			p.leaveWaiting(c, requirements, kept)
+		if keptOut, known := p.unplaceable[requirements]; known {
+			p.leaveWaiting(c, requirements, keptOut)
 			break
 		}
 		c.keptOut = false
@@ -179,12 +176,12 @@
 	}
 }
 
-// leaveWaiting records that a candidate found no room.
-func (p *pass) leaveWaiting(c *candidate, requirements unitRequirements, kept keptOut) {
+// leaveWaiting records that a candidate found no room, or only such as is kept for others.
+func (p *pass) leaveWaiting(c *candidate, requirements unitRequirements, keptOut bool) {
 	p.s.shares.short = true
 	p.logCordonWait(c, requirements)
 	switch {
-	case !bool(kept):
+	case !keptOut:
 		c.step.keptOutSince = time.Time{}
 	case c.step.keptOutSince.IsZero():
 		c.step.keptOutSince = p.now
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -88,8 +88,7 @@
 	return true
 }
 
-// preemption returns the stops that free enough capacity and for which the loss less the
-// value that the job then has is smallest; nil if there are none.
+// preemption returns the best stops that free enough capacity; nil if there are none.
 func (p *pass) preemption(c *candidate) *preemption {
 	count := c.step.spec.Members()
 	if c.guaranteeOverdue {
@@ -103,7 +102,7 @@
 			if found == nil {
 				continue
 			}
-			if best == nil || cmp.Or(cmp.Compare(found.class, best.class), cmp.Compare(found.loss-found.value, best.loss-best.value)) < 0 {
+			if best == nil || found.compare(best) < 0 {
 				best = found
 			}
 		}
@@ -150,12 +149,20 @@
 type preemption struct {
 	openNodes []*freeCapacity
 	victims   []victim
+	// missing is for how many members there is no room even then.
+	missing int
 	// class is the highest of the victims' classes.
 	class victimClass
 	// loss is the value that the stops cost, and value what the candidate's job is then worth.
 	loss, value float64
 }
 
+// compare orders the better one first: the one that makes room for more members, stops runs of lower classes,
+// and for which the loss less the value that the job then has is smaller.
+func (f *preemption) compare(other *preemption) int {
+	return cmp.Or(cmp.Compare(f.missing, other.missing), cmp.Compare(f.class, other.class), cmp.Compare(f.loss-f.value, other.loss-other.value))
+}
+
 // clear finds the cheapest runs to stop on openNodes so that count members fit; nil if they do
 // not fit even then. For single tasks of an overdue guarantee it makes room for as many as it can. Runs that are expected to end within wait count as ended; no others are stopped if
 // mayStop is false.
@@ -170,10 +177,10 @@
 	slices.SortStableFunc(options, func(a, b clearOption) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rank, b.rank), cmp.Compare(a.order, b.order), cmp.Compare(b.members, a.members))
 	})
-	found, missing := p.cheapest(options, count)
+	found := p.cheapest(options, count)
 	// Single tasks that a guarantee covers don't wait for each other.
-	inPart := c.guaranteeOverdue && !c.step.spec.Gang && missing < count
-	if missing > 0 && !inPart {
+	inPart := c.guaranteeOverdue && !c.step.spec.Gang && found.missing < count
+	if found.missing > 0 && !inPart {
 		return nil
 	}
 	slowest := math.Inf(1)
@@ -184,12 +191,12 @@
 	return found
 }
 
-// cheapest takes options in their order until count members fit, and returns for how many no room was found.
-func (p *pass) cheapest(options []clearOption, count int) (found *preemption, missing int) {
-	found, missing = &preemption{}, count
+// cheapest takes options in their order until count members fit, or there are no more.
+func (p *pass) cheapest(options []clearOption, count int) *preemption {
+	found := &preemption{missing: count}
 	budget, counted, taken := p.newStopBudget(), map[*unit]bool{}, map[*freeCapacity]int{}
 	for _, o := range options {
-		if missing <= 0 {
+		if found.missing == 0 {
 			break
 		}
 		// Those of one target build on each other. A gang may be a victim on several targets.
@@ -200,13 +207,13 @@
 		if taken[o.n]++; o.order == 0 {
 			found.openNodes = append(found.openNodes, o.n)
 		}
-		missing, found.class = missing-o.members, max(found.class, o.class)
+		found.missing, found.class = max(0, found.missing-o.members), max(found.class, o.class)
 		for _, v := range further {
 			counted[v.unit] = true
 			found.victims, found.loss = append(found.victims, v), found.loss+v.loss
 		}
 	}
-	return found, missing
+	return found
 }
 
 // clearOption is a target with runs to stop there for a candidate, in addition to those of the target's options
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -243,7 +243,7 @@
 type pipes struct {
 	mu     sync.Mutex
 	open   []*atomic.Bool
-	dialed int
+	dialled int
 	// last is the connection that answered last.
 	last *atomic.Bool
 }
@@ -253,7 +253,7 @@
 	silent := &atomic.Bool{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open, p.dialed = append(p.open, silent), p.dialed+1
+	p.open, p.dialled = append(p.open, silent), p.dialled+1
 	go func() {
 		defer there.Close()
 		for reader := bufio.NewReader(there); readRequest(reader) == nil; {
@@ -334,8 +334,8 @@
 			nextCtx, cancelNext := context.WithTimeout(t.Context(), time.Second)
 			defer cancelNext()
 			answered := callAll(nextCtx, client, 1)
-			if want := c.wantDialled - idle; answered != want || peer.dialed != c.wantDialled {
-				t.Errorf("%s: have %d of 1 next calls answered and %d connections, want %d and %d", name, answered, peer.dialed, want, c.wantDialled)
+			if want := c.wantDialled - idle; answered != want || peer.dialled != c.wantDialled {
+				t.Errorf("%s: have %d of 1 next calls answered and %d connections, want %d and %d", name, answered, peer.dialled, want, c.wantDialled)
 			}
 			pool.CloseIdle()
 		})
@@ -360,8 +360,8 @@
 		if answered := <-ended; answered != 0 {
 			t.Fatalf("have %d calls answered on a silent connection", answered)
 		}
-		if answered := callAll(t.Context(), client, 1); answered != 1 || peer.dialed != 2 {
-			t.Errorf("have %d calls answered and %d connections, want 1 on the other open one of 2", answered, peer.dialed)
+		if answered := callAll(t.Context(), client, 1); answered != 1 || peer.dialled != 2 {
+			t.Errorf("have %d calls answered and %d connections, want 1 on the other open one of 2", answered, peer.dialled)
 		}
 		pool.CloseIdle()
 	})
