Progress that outgrows a value of the store ends no term

Cause: a job's progress held the checkpoint of each task, done or not; the store refuses a value beyond its limit, and a refused write ends the term.

Change: done tasks keep no checkpoint. If that is not enough, checkpoints are left out, those of running tasks first, whose targets tell them again. The limit is the platform's (ValueBytes, 1 MiB if it is not given). A log line and a counter tell of it.

--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -1,11 +1,13 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"maps"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
@@ -22,6 +24,8 @@
 	maxCommitPuts = keyvalue.MaxTxnEntries - 4
 	// maxCommitBytes keeps a transaction well below the store's size limit.
 	maxCommitBytes = 512 << 10
+	// defaultMaxValueBytes is the size of the largest value if the platform names none.
+	defaultMaxValueBytes = 1 << 20
 	pendingPeriod  = 500 * time.Millisecond
 	speedsPeriod   = 2 * time.Second
 )
@@ -146,7 +150,7 @@
 				// An empty record would erase what is known of the job's runs.
 				return errkind.Invalid.New("report this as a defect", "session.writeBatch: job %s has starts but no record", id)
 			}
-			value, err := records.Encode(record)
+			value, err := s.encodeProgress(id, record)
 			if err != nil {
 				return err
 			}
@@ -165,6 +169,19 @@
 	return s.writeSummaries(ctx, next)
 }
 
+// encodeProgress encodes a job's progress for the store, without checkpoints that it has no room for.
+func (s *session) encodeProgress(id string, record *wire.ProgressRecord) ([]byte, error) {
+	value, leftOut, err := records.EncodeProgress(record, cmp.Or(s.MaxValueBytes, defaultMaxValueBytes))
+	if leftOut > 0 {
+		metrics.GetOrRegisterCounter("coordinator.checkpointsLeftOut", s.Metrics).Inc(int64(leftOut))
+		if time.Since(s.leftOutLogged) >= logInterval {
+			s.leftOutLogged = time.Now()
+			s.Log.WithFields(log.Fields{"job": id, "leftOut": leftOut, "units": len(record.GetUnits()), "bytes": len(value)}).Warn("coordinator: checkpoints are left out of a progress record that would be too large")
+		}
+	}
+	return value, err
+}
+
 // writeSummaries writes the counts of pending jobs, the speeds, the digest of the load and the record for a
 // successor of a batch.
 func (s *session) writeSummaries(ctx context.Context, next batch) error {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -70,6 +70,8 @@
 	// Cordons returns what is known of the cordons, never nil.
 	Cordons func() *cordon.Set
 	Limits  scheduler.Limits
+	// MaxValueBytes is the size of the largest value that the store accepts; 0 stands for 1 MiB.
+	MaxValueBytes int
 	// PublishLoad says that digests of the load are written for the hosts.
 	PublishLoad bool
 	Metrics     metrics.Registry
@@ -113,6 +115,8 @@
 	context context.Context
 	cancel  context.CancelCauseFunc
 	group   sync.WaitGroup
+	// leftOutLogged is when it was last logged that checkpoints were left out. Only commitLoop uses it.
+	leftOutLogged time.Time
 	// nextBatch holds what waits for the next commit.
 	nextBatch    batch
 	commitSignal chan struct{}
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -83,6 +83,10 @@
 	// cordonTime is the bound for cordons at the hosts that start from now on. They follow the operators'
 	// keys only if it is not 0.
 	cordonTime time.Duration
+	// maxValueBytes is what the hosts that start from now on know of the largest value of the store, and
+	// wrapTargets, if set, changes how they reach the targets.
+	maxValueBytes int64
+	wrapTargets   func(target.Targets) target.Targets
 }
 
 func newDeployment(t *testing.T, seed int64) *deployment {
@@ -162,8 +166,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
+	targets := target.Targets(d.fleet)
+	if d.wrapTargets != nil {
+		targets = d.wrapTargets(targets)
+	}
 	planner := &coordinator.Coordinator{
-		Store: d.links[i], Targets: &tracedTargets{Targets: d.fleet, log: hostLog, starting: d.starting, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load, Cordons: d.follow(ctx, i, hostLog),
+		Store: d.links[i], Targets: &tracedTargets{Targets: targets, log: hostLog, starting: d.starting, renewing: d.renewing, renewed: d.renewed}, TargetPrefix: targetPrefix, Catalogue: d.configuration.Load, Cordons: d.follow(ctx, i, hostLog),
 		ReadListing: func(_ string, value []byte) (target.Listing, error) {
 			var index int
 			var incarnation int64
@@ -177,7 +185,7 @@
 			TaskLease: lease, RenewalHorizon: coordinator.RenewalHorizon, RemoteFactor: 3, Retention: retention,
 			CheckpointPeriod: time.Second, StopTime: stopTime, DrainTime: drainTime, CordonTime: d.cordonTime,
 		},
-		PublishLoad: true, Metrics: metrics.NewRegistry(), Log: hostLog,
+		MaxValueBytes: int(d.maxValueBytes), PublishLoad: true, Metrics: metrics.NewRegistry(), Log: hostLog,
 	}
 	election := &term.Election{
 		Store: d.links[i], Name: fmt.Sprintf("host%d-%d", i, d.random.Int()), Elapsed: func() time.Duration { return time.Since(started) + time.Duration(d.suspended.Load()) },
--- a/internal/coordinator/link_test.go
+++ b/internal/coordinator/link_test.go
@@ -29,6 +29,8 @@
 	// the large commits that were answered.
 	commitDelay atomic.Int64
 	commits     atomic.Int64
+	// maxValueBytes is the size above which values are refused; 0 for none.
+	maxValueBytes atomic.Int64
 }
 
 var errCut = errkind.Ambiguous.New("reconnect the link", "coordinator_test.link: the host's link to the store is cut")
@@ -41,6 +43,11 @@
 	if len(txn.Deletes) > 0 && l.removals != nil {
 		l.removals <- txn
 	}
+	for _, put := range txn.Puts {
+		if limit := l.maxValueBytes.Load(); limit > 0 && int64(len(put.Value)) > limit {
+			return keyvalue.TxnResult{}, errkind.Invalid.New("write less", "coordinator_test.link: a value of %d bytes is refused", len(put.Value))
+		}
+	}
 	result, err := l.Service.Commit(ctx, txn)
 	if len(txn.Deletes) > 0 && l.lostRemovals.Add(-1) >= 0 {
 		return keyvalue.TxnResult{}, errCut
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,7 +157,7 @@
 func (e *Entry) newElection() *term.Election {
 	planner := &coordinator.Coordinator{
 		Store: e.Store, Targets: e.Targets, TargetPrefix: e.StoreLayout.TargetPrefix, ReadListing: e.StoreLayout.ReadListing,
-		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.limits(), PublishLoad: e.Load != nil,
+		Catalogue: e.Catalogue, Cordons: e.follower.Cordons, Limits: e.limits(), MaxValueBytes: e.Settings.MaxValueBytes, PublishLoad: e.Load != nil,
 		Metrics: e.Registry, Log: e.Log,
 	}
 	lead := func(ctx context.Context, current *term.Term) error {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -56,6 +56,8 @@
 	ColdSlack   int
 	// MaxDescriptors is the limit of open descriptors of the process; 0 if it is not known.
 	MaxDescriptors int
+	// MaxValueBytes is the size of the largest value that the platform's store accepts; 0 if it is not known.
+	MaxValueBytes int
 }
 
 // Validate returns an Invalid error if the task lease, the stop grace or the retention is out of
--- a/internal/scheduler/record.go
+++ b/internal/scheduler/record.go
@@ -32,8 +32,10 @@
 func (u *unit) record() *wire.UnitRecord {
 	record := &wire.UnitRecord{
 		Occurrence: int32(u.step.occurrence.number), Step: int32(u.step.number), Index: int32(u.index),
-		Run: int32(u.run), Failures: int32(u.failures), Done: u.done, Checkpoint: u.checkpoint,
-		Preempted: int32(u.preempted),
+		Run: int32(u.run), Failures: int32(u.failures), Done: u.done, Preempted: int32(u.preempted),
+	}
+	if !u.done {
+		record.Checkpoint = u.checkpoint
 	}
 	for _, number := range u.failedRuns {
 		record.FailedRuns = append(record.FailedRuns, int32(number))
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -241,8 +241,8 @@
 // pipes dials in-memory connections to a peer that answers each request after a millisecond, but for the connections that were open
 // when it was silenced.
 type pipes struct {
-	mu     sync.Mutex
-	open   []*atomic.Bool
+	mu      sync.Mutex
+	open    []*atomic.Bool
 	dialled int
 	// last is the connection that answered last.
 	last *atomic.Bool
