Soak: overlapping faults start a host once

Cause: faults overlap, and two that end the same host both started it again; only the last process was known, so the others were never ended. A fault could also wait for the end of a process that another had started.

Change: start does nothing while the process runs, and faults wait for the process that they signalled.

--- a/internal/coordinator/load_test.go
+++ b/internal/coordinator/load_test.go
@@ -128,6 +128,7 @@
 func TestSurgeIsRefusedInPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDeployment(t, 1)
+		defer d.trace.print(t)
 		known, stop := d.copyLoad()
 		d.intake.Load = known
 		submit := func(id, queue string, estimate time.Duration, accelerators int64) error {
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -26,7 +26,7 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	// ended is closed when the process has ended.
-	ended  chan struct{}
+	ended  <-chan struct{}
 	starts int
 	frozen bool
 	// disturbed is when the last disturbance other than a SIGTERM ended, and stopping when the
@@ -52,10 +52,13 @@
 
 func (h *host) settingsPath() string { return filepath.Join(h.dir, h.Name+".conf") }
 
-// start starts the process. Each start has a log file of its own.
+// start starts the process, unless an overlapping fault has done so. Each start has a log file of its own.
 func (h *host) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.isRunning() {
+		return nil
+	}
 	h.starts++
 	output, err := os.Create(filepath.Join(h.dir, fmt.Sprintf("%s.%d.log", h.Name, h.starts)))
 	if err != nil {
@@ -81,16 +84,35 @@
 	return nil
 }
 
-// signal sends a signal to the process, unless it has ended.
-func (h *host) signal(signal syscall.Signal) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// isRunning reports whether the process was started and has not ended. The caller holds mu.
+func (h *host) isRunning() bool {
+	if h.ended == nil {
+		return false
+	}
 	select {
 	case <-h.ended:
+		return false
 	default:
-		if err := h.command.Process.Signal(signal); err != nil {
-			fmt.Fprintf(os.Stderr, "soak: %s: %v\n", h.Name, err)
-		}
+		return true
+	}
+}
+
+// signal sends a signal to the process, unless it has ended. It returns the channel that is closed when that
+// process has ended: an overlapping fault may start another.
+func (h *host) signal(signal syscall.Signal) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.send(signal)
+	return h.ended
+}
+
+// send sends a signal to the process, unless it has ended. The caller holds mu.
+func (h *host) send(signal syscall.Signal) {
+	if !h.isRunning() {
+		return
+	}
+	if err := h.command.Process.Signal(signal); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %s: %v\n", h.Name, err)
 	}
 }
 
@@ -111,8 +133,7 @@
 
 // kill ends the process with SIGKILL and starts it again after a pause.
 func (h *host) kill(pause time.Duration) error {
-	h.signal(syscall.SIGKILL)
-	<-h.ended
+	<-h.signal(syscall.SIGKILL)
 	time.Sleep(pause)
 	return h.start()
 }
@@ -122,14 +143,17 @@
 func (h *host) stop() (inTime bool, err error) {
 	h.mu.Lock()
 	h.stopping = time.Now()
-	ended := h.ended
 	h.mu.Unlock()
-	h.signal(syscall.SIGTERM)
+	ended := h.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
 		inTime = true
 	case <-time.After(gracePeriod):
-		h.signal(syscall.SIGKILL)
+		h.mu.Lock()
+		if h.ended == ended {
+			h.send(syscall.SIGKILL)
+		}
+		h.mu.Unlock()
 		<-ended
 	}
 	return inTime, h.start()
