--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -26,8 +26,8 @@
 	maxCommitBytes = 512 << 10
 	// defaultMaxValueBytes is the size of the largest value if the platform names none.
 	defaultMaxValueBytes = 1 << 20
-	pendingPeriod  = 500 * time.Millisecond
-	speedsPeriod   = 2 * time.Second
+	pendingPeriod        = 500 * time.Millisecond
+	speedsPeriod         = 2 * time.Second
 )
 
 // batch holds the writes of one commit and what may be done only after it.
