Reservations hold whole targets on a busy service, as before

Cause: on a busy service small work took the rest of reserved targets, on which gangs then had to wait for more.

Change: where more than half of the service is in use, a reservation holds its targets whole, as it did before; elsewhere it leaves the rest to others. How it yields is unchanged.

All tests of the scheduler pass.

--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -32,8 +32,14 @@
 	if best == nil {
 		return
 	}
+	mostlyUsed := p.mostlyUsed(c)
 	for _, slot := range best.slots {
-		slot.n.reserved, slot.n.reservedUse = c.step, slot.n.reservedUse.Plus(c.step.spec.CapacityUse())
+		n := slot.n
+		n.reserved, n.reservedUse = c.step, n.reservedUse.Plus(c.step.spec.CapacityUse())
+		if mostlyUsed {
+			// What others would take of the rest fragments the capacity that gangs wait for.
+			n.reservedUse = n.Capacity
+		}
 	}
 	p.reservations++
 }
