review: hosts that start while the store gives no answer never work (case 11)

Found by random disturbances over real processes, then from a dump of goroutines: the first calls of a process panic if they get no answer, the loops that read the configuration, register and plan end by that, and nothing starts them again: RECOVER.

--- a/review/standin3/host.go
+++ b/review/standin3/host.go
@@ -51,7 +51,7 @@
 	s.store = newStore()
 	s.putConfig(config)
 	for i := range count {
-		r, err := startRunner(s.store, s.log, fmt.Sprintf("i-%08x", 0xa0000000+i*7919), zone(i), service, has, needs)
+		r, err := startRunner(s.store, s.log, fmt.Sprintf("i-%08x", 0xa0000000+i*7919), zone(i), rack(i), service, has, needs)
 		if err != nil {
 			return err
 		}
@@ -77,6 +77,9 @@
 	return nil
 }
 
+// rack returns the rack of a runner: three are in each.
+func rack(i int) string { return fmt.Sprintf("rack-%d", i/3) }
+
 func zone(i int) string { return "zone-" + string(rune('a'+i%3)) }
 
 // freePort returns a port of a loopback address that is free now.
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,7 +17,7 @@
 
 // cases holds the cases by the name of their folder.
 var cases = map[string]func(*stage) (broken bool, err error){
-	"lasting": lastingTasks, "storm": configurationStorm, "failing": failingTasks, "unavailable": unavailableTasks,
+	"lasting": lastingTasks, "storm": configurationStorm, "failing": failingTasks, "unavailable": unavailableTasks, "rack": rackGang, "restart": restartInOutage,
 }
 
 // longest is how long a case may take.
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -47,10 +47,10 @@
 
 // runner is one life of a runner as PROTOCOL.md describes it. It guards its capacity.
 type runner struct {
-	id, zone, service string
-	has               capacity
-	store             *store
-	log               *recorder
+	id, zone, rack, service string
+	has                     capacity
+	store                   *store
+	log                     *recorder
 	// needs returns what a task needs.
 	needs func(task string) capacity
 
@@ -89,13 +89,13 @@
 	how    string
 }
 
-func startRunner(s *store, log *recorder, id, zone, service string, has capacity, needs func(string) capacity) (*runner, error) {
+func startRunner(s *store, log *recorder, id, zone, rack, service string, has capacity, needs func(string) capacity) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		id: id, zone: zone, service: service, has: has, store: s, log: log, needs: needs, listener: listener, started: time.Now().Add(-time.Minute),
+		id: id, zone: zone, rack: rack, service: service, has: has, store: s, log: log, needs: needs, listener: listener, started: time.Now().Add(-time.Minute),
 		running: map[string]*run{}, highest: map[string]int{}, nextEnd: 1, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -136,7 +136,7 @@
 	r.seq++
 	entry := map[string]any{
 		"Service": r.service, "Address": r.listener.Addr().String(), "Zone": r.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-		"Capacity": r.has, "Labels": []string{"a", "rack-" + r.zone}, "ClockMs": r.clock().Milliseconds(), "Seq": r.seq, "born": r.started.UnixMilli(),
+		"Capacity": r.has, "Labels": []string{"a", r.rack}, "ClockMs": r.clock().Milliseconds(), "Seq": r.seq, "born": r.started.UnixMilli(),
 	}
 	if r.draining {
 		entry["State"], entry["DrainRemainingMs"] = "draining", max(0, time.Until(r.leavesAt)).Milliseconds()
@@ -190,6 +190,15 @@
 	time.AfterFunc(3*heartbeat, func() { r.store.del("servers/" + r.id) })
 }
 
+// breakOff ends a run because another member of its gang has ended.
+func (r *runner) breakOff(task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running[task] != nil {
+		r.finish(task, "broken")
+	}
+}
+
 // failOnce ends all runs as failed, as tasks may at any time.
 func (r *runner) failOnce() {
 	r.mu.Lock()
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -35,6 +36,8 @@
 	// dropped is the revision of the last event that the history has discarded.
 	dropped int64
 	changed chan struct{}
+	// silent says that calls that arrive get no answer and have no effect.
+	silent bool
 }
 
 type item struct {
@@ -141,6 +144,13 @@
 	return ""
 }
 
+// setSilent sets whether the store leaves all calls of the hosts without an answer.
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 // listen serves the store on a loopback address.
 func (s *store) listen() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -157,6 +167,14 @@
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.end)
 	go http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeLatency)
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if silent {
+			io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
 		mux.ServeHTTP(w, r)
 	}))
 	return listener.Addr().String(), nil
