--- a/review/standin3/host.go
+++ b/review/standin3/host.go
@@ -28,6 +28,8 @@
 	store                 *store
 	hosts                 []*host
 	runners               []*runner
+	// maxHold is MaxHoldMs.
+	maxHold time.Duration
 }
 
 // host is an entry host: a process of the project's program with its own settings.
@@ -51,7 +53,7 @@
 	s.store = newStore()
 	s.putConfig(config)
 	for i := range count {
-		r, err := startRunner(s.store, s.log, fmt.Sprintf("i-%08x", 0xa0000000+i*7919), zone(i), rack(i), service, has, needs)
+		r, err := startRunner(s.store, s.log, fmt.Sprintf("i-%08x", 0xa0000000+i*7919), zone(i), rack(i), service, has, needs, s.maxHold)
 		if err != nil {
 			return err
 		}
@@ -109,7 +111,7 @@
 	h.settings = filepath.Join(s.dir, h.name+".conf")
 	h.client = &http.Client{Timeout: deadline, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	text := strings.NewReplacer(
-		"NAME", h.name, "IP", ip, "ZONE", zone(i), "FRONT", h.front, "READY", h.ready, "CONTROL", ip+":"+ports[2], "INTERNAL", ports[3], "STORE", store,
+		"NAME", h.name, "IP", ip, "ZONE", zone(i), "FRONT", h.front, "READY", h.ready, "CONTROL", ip+":"+ports[2], "INTERNAL", ports[3], "STORE", store, "HOLD", fmt.Sprint(s.maxHold.Milliseconds()),
 	).Replace(settings)
 	if h.output, err = os.Create(filepath.Join(s.dir, h.name+".log")); err != nil {
 		return nil, err
@@ -158,7 +160,7 @@
 Bounds.RollbackSlackMs=250
 Bounds.OuterMs=5000
 Bounds.RecoveryS=12
-Bounds.MaxHoldMs=6000
+Bounds.MaxHoldMs=HOLD
 Bounds.StopTimeoutMs=200
 Bounds.GangTimeoutMs=3000
 Bounds.cancel_ms=3000
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,7 +17,7 @@
 
 // cases holds the cases by the name of their folder.
 var cases = map[string]func(*stage) (broken bool, err error){
-	"lasting": lastingTasks, "storm": configurationStorm, "failing": failingTasks, "unavailable": unavailableTasks, "rack": rackGang, "restart": restartInOutage,
+	"lasting": lastingTasks, "storm": configurationStorm, "failing": failingTasks, "unavailable": unavailableTasks, "rack": rackGang, "restart": restartInOutage, "lost": lostRunner,
 }
 
 // longest is how long a case may take.
@@ -49,7 +49,7 @@
 		return 2
 	}
 	defer file.Close()
-	s := &stage{dir: dir, program: program, trouble: os.Getenv("TROUBLE"), log: &recorder{began: time.Now(), file: file, runs: map[string][]*interval{}}}
+	s := &stage{maxHold: 6 * time.Second, dir: dir, program: program, trouble: os.Getenv("TROUBLE"), log: &recorder{began: time.Now(), file: file, runs: map[string][]*interval{}}}
 	defer s.close()
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -14,7 +14,6 @@
 
 const (
 	heartbeat   = 1500 * time.Millisecond
-	maxHold     = 6 * time.Second
 	stopTakes   = 100 * time.Millisecond
 	startupTime = 300 * time.Millisecond
 	runnerTick  = 5 * time.Millisecond
@@ -53,6 +52,8 @@
 	log                     *recorder
 	// needs returns what a task needs.
 	needs func(task string) capacity
+	// maxHold is the longest lease.
+	maxHold time.Duration
 
 	listener net.Listener
 	server   *http.Server
@@ -89,13 +90,13 @@
 	how    string
 }
 
-func startRunner(s *store, log *recorder, id, zone, rack, service string, has capacity, needs func(string) capacity) (*runner, error) {
+func startRunner(s *store, log *recorder, id, zone, rack, service string, has capacity, needs func(string) capacity, maxHold time.Duration) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		id: id, zone: zone, rack: rack, service: service, has: has, store: s, log: log, needs: needs, listener: listener, started: time.Now().Add(-time.Minute),
+		id: id, zone: zone, rack: rack, service: service, has: has, store: s, log: log, needs: needs, maxHold: maxHold, listener: listener, started: time.Now().Add(-time.Minute),
 		running: map[string]*run{}, highest: map[string]int{}, nextEnd: 1, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -274,7 +275,7 @@
 }
 
 func (r *runner) extend(deadlineMs int64) {
-	r.leaseEnd = max(r.leaseEnd, min(time.Duration(deadlineMs)*time.Millisecond, r.clock()+maxHold))
+	r.leaseEnd = max(r.leaseEnd, min(time.Duration(deadlineMs)*time.Millisecond, r.clock()+r.maxHold))
 }
 
 func (r *runner) start(w http.ResponseWriter, q *http.Request) {
