--- a/review/standin3/lasting.go
+++ b/review/standin3/lasting.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -17,7 +18,8 @@
 	afterLastRun, calmBefore, mostDown = 6 * time.Second, 4 * time.Second, 3 * time.Second
 )
 
-// lastingTasks has a runner leave at short notice and kills the process of the planner just after.
+// lastingTasks has a runner leave at short notice and kills the process of the planner just after. With TROUBLE=term that
+// process is stopped gracefully instead.
 func lastingTasks(s *stage) (bool, error) {
 	needs := capacity{Cpu: 8000, MemMb: 16384, Gpus: 1}
 	if err := s.begin(newConfig(), 6, capacity{Cpu: 16000, MemMb: 65536, Gpus: 8}, func(string) capacity { return needs }); err != nil {
@@ -54,8 +56,14 @@
 			if err != nil {
 				return false, err
 			}
-			s.log.add("%s, which leads, is killed", h.name)
-			h.kill()
+			if s.trouble == "term" {
+				s.log.add("%s, which leads, gets SIGTERM", h.name)
+				h.signal(syscall.SIGTERM)
+				<-h.ended
+			} else {
+				s.log.add("%s, which leads, is killed", h.name)
+				h.kill()
+			}
 			time.Sleep(500 * time.Millisecond)
 			if err := h.start(s.program); err != nil {
 				return false, err
