A first call without an answer no longer ends its loop or the process

Where a store or target closes its connections, the process itself ends at the first call without an answer.

Cause: Pool.giveUp assigned to the map of idle connections, which is made when the first connection is kept. Before that, the first call that its time limit ended panicked: "assignment to entry in nil map". The follower, the roster and the election were recovered and ended for good; the goroutine of an agent was not recovered and ended the process.

Change: giveUp returns when nothing is kept.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -66,7 +66,8 @@
 	// lasted that speaks against them.
 	OnSilence func(address string, connections int, lasted time.Duration)
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// idle holds the connections by address, that used last at the end; nil until the first one is kept.
 	idle map[string][]*connection
 	// sweptAt is when connections that were idle for too long were last closed.
 	sweptAt time.Time
@@ -208,15 +209,21 @@
 func (p *Pool) giveUp(host string, before time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	all := len(p.idle[host])
-	p.idle[host] = slices.DeleteFunc(p.idle[host], func(c *connection) bool {
+	kept := p.idle[host]
+	if len(kept) == 0 {
+		// The map is made when the first connection is kept.
+		return 0
+	}
+	all := len(kept)
+	kept = slices.DeleteFunc(kept, func(c *connection) bool {
 		if !c.idleSince.Before(before) {
 			return false
 		}
 		c.Close()
 		return true
 	})
-	return all - len(p.idle[host])
+	p.idle[host] = kept
+	return all - len(kept)
 }
 
 // CloseIdle closes the idle connections.
