A call whose context has ended sends nothing

Change: Pool.RoundTrip returns the context's cause before it takes a connection.

Measured: TestCallWhoseContextHasEndedSendsNothing makes 100 calls with an ended context on an idle connection; none reaches the server.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -86,9 +86,14 @@
 var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
 // RoundTrip makes one call. The connection is used again once the response's body has been read to
-// its end; it is closed if the body is closed before or if the request's context ends.
+// its end; it is closed if the body is closed before or if the request's context ends. Nothing is sent if the
+// context has ended.
 func (p *Pool) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
+	if cause := context.Cause(ctx); cause != nil {
+		closeBody(request)
+		return nil, cause
+	}
 	c, err := p.connection(ctx, request.URL.Host)
 	if err != nil {
 		closeBody(request)
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -366,3 +366,29 @@
 		pool.CloseIdle()
 	})
 }
+
+// Guards against: work that a former planner's goroutine starts on an idle connection after its term has ended.
+func TestCallWhoseContextHasEndedSendsNothing(t *testing.T) {
+	calls := atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer server.Close()
+	client := newClient()
+	if _, err := post(t, client, server.URL); err != nil {
+		t.Fatal(err)
+	}
+	cause := errors.New("the term has ended")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(cause)
+	for range 100 {
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, strings.NewReader("question"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Do(request); !errors.Is(err, cause) {
+			t.Fatalf("Do: have %v, want %v", err, cause)
+		}
+	}
+	if have := calls.Load(); have != 1 {
+		t.Errorf("have %d calls at the server, want 1", have)
+	}
+}
