A loop of an entry host that ends is started again, and one that hangs shows

Cause: Entry.Run read the ends of its loops only when it stopped. A panic was turned into a loop's end, without a log line.

Change: supervisor starts an ended loop again after a pause of 0.1 s that doubles to 5 s, with a log line that has cause and stack, the counter background.ended.NAME and the gauge background.down. An exit would cut the calls under way, of all hosts at once if all meet the same value. The loop "health" compares when the operators' keys were last confirmed with the store's last answer to this host: more than 6 s behind, the host is not ready and says so (gauge configuration.behind). A value of the configuration or a cordon whose decoding panics is ignored like one that can't be decoded; probes of other hosts answer no. A panic of the planner or of the renewals ends the term, which is given up as at any other end.

--- a/internal/background/background.go
+++ b/internal/background/background.go
@@ -3,10 +3,11 @@
 
 import (
 	"context"
-	"fmt"
+
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 )
 
-// Exit is the end of one loop; Err is what the loop returned, or its panic.
+// Exit is the end of one loop; Err is what the loop returned, or its panic as a *panics.Error.
 type Exit struct {
 	Name string
 	Err  error
@@ -26,7 +27,7 @@
 	for _, loop := range loops {
 		go func() {
 			defer func() { done <- struct{}{} }()
-			ends <- Exit{Name: loop.Name, Err: runRecovering(ctx, loop)}
+			ends <- Exit{Name: loop.Name, Err: loop.RunOnce(ctx)}
 		}()
 	}
 	go func() {
@@ -38,12 +39,8 @@
 	return ends
 }
 
-// runRecovering runs a loop and returns a panic as an error.
-func runRecovering(ctx context.Context, loop Loop) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			err = fmt.Errorf("background.Start: %s panicked: %v", loop.Name, cause)
-		}
-	}()
-	return loop.Run(ctx)
+// RunOnce runs the loop in this goroutine until it ends, and returns a panic as a *panics.Error.
+func (l Loop) RunOnce(ctx context.Context) (err error) {
+	defer panics.Recover(l.Name, &err)
+	return l.Run(ctx)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/relay"
 	"github.com/eelgrasstide/eelgrasstide/internal/roster"
 	"github.com/eelgrasstide/eelgrasstide/internal/settings"
+	"github.com/eelgrasstide/eelgrasstide/internal/supervisor"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
 )
@@ -74,6 +75,8 @@
 
 	follower Follower
 	stopping atomic.Bool
+	// stuck says that the store answers this host, but not the loop that follows the configuration.
+	stuck atomic.Bool
 }
 
 // StoreLayout holds the store keys of the operators and of the targets' entries, and the decoders of
@@ -105,9 +108,10 @@
 
 // IsReady reports whether the load balancer should send new connections to this host. An
 // outage of the store affects all hosts alike and leaves them ready. A host that alone is cut
-// off from the store and from other zones is not ready.
+// off from the store and from other zones is not ready, nor is one that no longer follows the
+// configuration although the store answers it.
 func (e *Entry) IsReady() bool {
-	return e.Catalogue() != nil && !e.Stopping() && (e.Relay == nil || !e.Relay.Isolated())
+	return e.Catalogue() != nil && !e.Stopping() && !e.stuck.Load() && (e.Relay == nil || !e.Relay.Isolated())
 }
 
 // Run serves until ctx ends, then stops gracefully: it gives up the planner's term at once,
@@ -127,31 +131,36 @@
 	loopContext, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	e.follower.Store, e.follower.Layout, e.follower.Metrics, e.follower.Log = e.Store, &e.StoreLayout, e.Registry, e.Log
-	loops := []background.Loop{{Name: "configuration", Run: e.follower.Run}, {Name: "roster", Run: e.Roster.Run}}
+	loops := []background.Loop{{Name: "configuration", Run: e.follower.Run}, {Name: "roster", Run: e.Roster.Run}, {Name: "health", Run: e.watchHealth}}
 	if e.Relay != nil {
 		loops = append(loops, background.Loop{Name: "relay", Run: e.Relay.Run})
 	}
 	if e.Load != nil {
 		loops = append(loops, background.Loop{Name: "load", Run: e.Load.Run})
 	}
-	ends := background.Start(loopContext, loops...)
-	planning := background.Start(ctx, background.Loop{Name: "term", Run: e.newElection().Run})
+	loopSupervisor := &supervisor.Supervisor{Metrics: e.Registry, Log: e.Log}
+	ends := background.Start(loopContext, loopSupervisor.Wrap(loops...)...)
+	planning := background.Start(ctx, loopSupervisor.Wrap(background.Loop{Name: "term", Run: e.newElection().Run})...)
 	select {
 	case <-ctx.Done():
 	case err := <-failures:
 		return err
 	}
 	e.stop(servers, cancelCalls)
-	for end := range planning {
-		e.Log.WithField("part", end.Name).WithField("cause", end.Err).Info("entry: background loop ended")
-	}
+	e.awaitEnds(planning)
 	stop()
-	for range ends {
-	}
+	e.awaitEnds(ends)
 	e.Log.Info("entry: stopped")
 	return nil
 }
 
+// awaitEnds waits until the loops have ended that a stop ends, and logs each end.
+func (e *Entry) awaitEnds(ends <-chan background.Exit) {
+	for end := range ends {
+		e.Log.WithField("part", end.Name).WithField("cause", end.Err).Info("entry: background loop ended")
+	}
+}
+
 // newElection returns the election in which this host competes for the term. While it holds the
 // term, a coordinator plans.
 func (e *Entry) newElection() *term.Election {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -12,6 +12,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 )
 
 const (
@@ -141,7 +142,7 @@
 func (f *Follower) cordon(former *cordon.Set, changes []keyvalue.Item, sent time.Time) {
 	next := &cordon.Set{Revisions: former.Revisions, Confirmed: sent}
 	for _, item := range changes {
-		zone, err := f.Layout.CordonedZone(item.Key)
+		zone, err := panics.Guard("entry: cordon decoder", func() (string, error) { return f.Layout.CordonedZone(item.Key) })
 		if err != nil {
 			f.Log.WithError(err).WithFields(log.Fields{"revision": item.Revision, "deleted": item.Deleted}).Warn("entry: a request for a cordon is ignored")
 		}
@@ -162,7 +163,7 @@
 		if item.Key != f.Layout.ConfigurationKey || item.Deleted {
 			continue
 		}
-		decoded, err := f.Layout.ReadCatalogue(item.Value)
+		decoded, err := panics.Guard("entry: configuration decoder", func() (*catalogue.Catalogue, error) { return f.Layout.ReadCatalogue(item.Value) })
 		if err != nil {
 			f.Log.WithError(err).WithField("revision", item.Revision).Error("entry: a configuration could not be decoded and is ignored")
 			continue
--- a/internal/relay/peer.go
+++ b/internal/relay/peer.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -23,7 +24,7 @@
 // alive reports whether the host answers a call. An error that the host itself returns counts
 // as an answer.
 func (p *peer) alive(ctx context.Context) bool {
-	_, err := p.client.Lease(ctx, &wire.RelayLease{})
+	_, err := panics.Guard("relay: probe of a host", func() (*wire.RelayLease, error) { return p.client.Lease(ctx, &wire.RelayLease{}) })
 	return err == nil || answeredByPeer(err)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,14 @@
 	return r.failedAt
 }
 
+// AnsweredAt returns when the latest of the direct calls was sent that the store has answered; zero if it has
+// answered none.
+func (r *Relay) AnsweredAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answeredFrom
+}
+
 // tryDirect reports whether the next call goes directly to the store. While direct calls
 // fail, that is one call per directRetryPeriod.
 func (r *Relay) tryDirect(now time.Time) bool {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/background"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
@@ -46,6 +48,8 @@
 	revokeTimeout     = 500 * time.Millisecond
 )
 
+var errReplaced = errors.New("Election.renewLoop: another host has begun a term")
+
 // Term is the time during which this host is the planner.
 type Term struct {
 	// Token is the term's fencing token.
@@ -98,13 +102,16 @@
 func (e *Election) holdTerm(ctx context.Context, term *Term) {
 	e.Log.WithFields(log.Fields{"token": term.Token, "revision": term.Revision}).Info("term: this host plans")
 	termContext, stop := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	go func() { done <- e.Lead(termContext, term) }()
-	renewalEnded := make(chan struct{})
-	go func() { defer close(renewalEnded); e.renewLoop(termContext, term); stop() }()
-	err := <-done
+	lead := background.Start(termContext, background.Loop{Name: "lead", Run: func(ctx context.Context) error { return e.Lead(ctx, term) }})
+	renewals := background.Start(termContext, background.Loop{Name: "renewals", Run: func(ctx context.Context) error {
+		defer stop()
+		return e.renewLoop(ctx, term)
+	}})
+	err := (<-lead).Err
 	stop()
-	<-renewalEnded
+	if end := <-renewals; !errors.Is(end.Err, context.Canceled) && err == nil {
+		err = end.Err
+	}
 	e.Log.WithFields(log.Fields{"token": term.Token, "contact": term.SinceContact(), "cause": err}).Info("term: this host plans no longer")
 	revokeContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
@@ -113,8 +120,8 @@
 	}
 }
 
-// renewLoop renews the lease until the term is lost or ctx ends.
-func (e *Election) renewLoop(ctx context.Context, term *Term) {
+// renewLoop renews the lease until the term is lost, which its error says, or ctx ends.
+func (e *Election) renewLoop(ctx context.Context, term *Term) error {
 	for ctx.Err() == nil {
 		before := e.Elapsed()
 		callContext, cancel := context.WithTimeout(ctx, renewTimeout)
@@ -126,7 +133,7 @@
 		case alive:
 			term.confirm(before)
 		case !e.reacquireLease(ctx, term):
-			return
+			return errReplaced
 		}
 		wait := renewPeriod
 		if err != nil {
@@ -134,6 +141,7 @@
 		}
 		sleep(ctx, wait)
 	}
+	return ctx.Err()
 }
 
 // reacquireLease obtains a new lease for a term whose lease has expired, unless another host has
