A panic in a goroutine of the planner ends its term, not the process

Cause: agents, retries and requests to members ran as plain goroutines; those that panicked under the planner's lock would have left it locked.

Change: goroutines of a term are guarded: a panic is logged with its stack, counted (coordinator.panics) and ends the term, so that another host plans from the store. Sections under the lock release it in each case. A term whose goroutines don't end within 1 s is given up all the same.

--- a/internal/coordinator/agent.go
+++ b/internal/coordinator/agent.go
@@ -70,8 +70,8 @@
 		a = &agent{session: s, targetID: targetID, renewSignal: make(chan struct{}, 1), orderSignal: make(chan struct{}, 1)}
 		s.agents[targetID] = a
 		ctx, cancel := context.WithCancel(s.context)
-		s.group.Go(func() { defer cancel(); a.logEnd(a.report(ctx)) })
-		s.group.Go(func() { a.sendLoop(ctx) })
+		s.run("coordinator: renewals of "+targetID, func() { defer cancel(); a.logEnd(a.report(ctx)) })
+		s.run("coordinator: orders to "+targetID, func() { a.sendLoop(ctx) })
 	}
 	return a
 }
@@ -158,10 +158,11 @@
 // where it may start work.
 func (a *agent) renewalAnswered(sent time.Time, answer target.Answer) {
 	s := a.session
-	s.mu.Lock()
-	a.unanswered = answer != target.Accepted
-	changed := s.plan.OrderAnswered(time.Now(), a.targetID, sent, answer)
-	s.mu.Unlock()
+	changed := false
+	s.locked(func() {
+		a.unanswered = answer != target.Accepted
+		changed = s.plan.OrderAnswered(time.Now(), a.targetID, sent, answer)
+	})
 	if changed {
 		s.requestStep()
 	}
@@ -257,9 +258,19 @@
 
 // processReport passes the report of a renewal that was meant for the incarnation born to the
 // scheduler. It returns true if the effects of some ended runs are not durable yet.
-func (a *agent) processReport(sent time.Time, born int64, order target.RenewOrder, report target.Report) bool {
+func (a *agent) processReport(sent time.Time, born int64, order target.RenewOrder, report target.Report) (waiting bool) {
+	quiet := false
+	a.session.locked(func() { waiting, quiet = a.takeReport(sent, born, order, report) })
+	if !quiet {
+		a.session.requestStep()
+	}
+	return waiting
+}
+
+// takeReport is processReport without the step that follows. A report is quiet if it calls for no decision. The
+// session's lock must be held.
+func (a *agent) takeReport(sent time.Time, born int64, order target.RenewOrder, report target.Report) (waiting, quiet bool) {
 	s := a.session
-	s.mu.Lock()
 	// The numbers of ends count within one incarnation.
 	if a.incarnation == born && (report.Born == 0 || report.Born == born) {
 		a.delivered = max(a.delivered, report.Acknowledged)
@@ -270,16 +281,11 @@
 	} else {
 		a.leftOut = 0
 	}
-	// A report of a target without work that has nothing new to tell calls for no decision.
+	// A target without work that has nothing new to tell calls for none.
 	before := s.plan.TargetStatus(time.Now(), a.targetID)
-	quiet := !before.HasRuns && !before.NeedsReport && len(report.Running)+len(report.Ended) == 0 && report.Born == before.Listing.Born
+	quiet = !before.HasRuns && !before.NeedsReport && len(report.Running)+len(report.Ended) == 0 && report.Born == before.Listing.Born
 	s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
 	after := s.plan.TargetStatus(time.Now(), a.targetID)
 	a.recordRequest(sent, report, after.Listing.Born)
-	waiting := after.LastEnd > a.durableIn(after.Listing.Born)
-	s.mu.Unlock()
-	if !quiet {
-		s.requestStep()
-	}
-	return waiting
+	return after.LastEnd > a.durableIn(after.Listing.Born), quiet
 }
--- a/internal/coordinator/commit.go
+++ b/internal/coordinator/commit.go
@@ -77,18 +77,18 @@
 		case <-s.commitSignal:
 		case <-time.After(pendingPeriod):
 		}
-		s.mu.Lock()
-		next := s.nextBatch
-		s.nextBatch = newBatch()
-		if pending := s.plan.PendingJobs(); time.Since(pendingAt) >= pendingPeriod && !maps.Equal(pending, s.pending) {
-			next.pending, s.pending, pendingAt = pending, pending, time.Now()
-		}
-		if time.Since(speedsAt) >= speedsPeriod {
-			next.speeds, speedsAt = s.plan.LogSpeeds(), time.Now()
-		}
-		next.load = s.dueLoad(time.Now(), next.pending != nil || len(next.speeds) > 0)
-		next.handover = s.nextHandover(next.speeds != nil)
-		s.mu.Unlock()
+		var next batch
+		s.locked(func() {
+			next, s.nextBatch = s.nextBatch, newBatch()
+			if pending := s.plan.PendingJobs(); time.Since(pendingAt) >= pendingPeriod && !maps.Equal(pending, s.pending) {
+				next.pending, s.pending, pendingAt = pending, pending, time.Now()
+			}
+			if time.Since(speedsAt) >= speedsPeriod {
+				next.speeds, speedsAt = s.plan.LogSpeeds(), time.Now()
+			}
+			next.load = s.dueLoad(time.Now(), next.pending != nil || len(next.speeds) > 0)
+			next.handover = s.nextHandover(next.speeds != nil)
+		})
 		if err := s.writeBatch(ctx, next); err != nil {
 			return err
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -4,6 +4,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
 	"github.com/eelgrasstide/eelgrasstide/internal/cordon"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/scheduler"
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/term"
@@ -48,12 +50,15 @@
 	// reportCheckInterval is the time between two checks for targets that have not reported.
 	reportCheckInterval = 100 * time.Millisecond
 	histogramSamples    = 256
+	// abandonTimeout is how long the end of a term waits for its goroutines.
+	abandonTimeout = time.Second
 )
 
 var (
 	errFenced          = errors.New("coordinator.Lead: a target refused an order because a planner with a higher fencing token has given it orders")
 	errTermLost        = errors.New("coordinator.Lead: the term's record or the sequence in the store is not of this term; another planner has taken over")
 	errTargetRemoved   = errors.New("coordinator.agent: the target is not listed and has no runs")
+	errLoopEnded       = errors.New("coordinator.Lead: a background loop of the term ended; report this as a defect")
 	errTermUnconfirmed = errors.New("coordinator.Lead: the store has not confirmed the term for more than 8 s; check that the store can be reached")
 )
 
@@ -140,7 +145,6 @@
 	}
 	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
 	err := s.lead(ctx)
-	s.dropShareGauges(nil)
 	metrics.GetOrRegisterCounter("coordinator.termEnded."+termEndReason(err), c.Metrics).Inc(1)
 	return err
 }
@@ -158,15 +162,47 @@
 		background.Loop{Name: "expiry", Run: s.expire},
 		background.Loop{Name: "horizon", Run: s.watchContact},
 	)
-	for end := range ends {
-		if end.Err != nil && ctx.Err() == nil {
-			s.cancel(end.Err)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for end := range ends {
+			if ctx.Err() == nil {
+				s.fail(cmp.Or(end.Err, errLoopEnded))
+			}
 		}
+		s.group.Wait()
+	}()
+	<-ctx.Done()
+	select {
+	case <-ended:
+		s.dropShareGauges(nil)
+	case <-time.After(abandonTimeout):
+		// One that hangs must not keep the term from other hosts. It can send nothing: its context has ended.
+		s.Log.WithField("token", s.currentTerm.Token).Error("coordinator: not all goroutines of the term have ended; the term is given up without them")
 	}
-	s.group.Wait()
 	return context.Cause(ctx)
 }
 
+// run runs a part of the term's work in a goroutine. A panic ends the term, whose state may be half changed, and
+// not the process.
+func (s *session) run(name string, part func()) {
+	s.group.Go(func() {
+		if _, err := panics.Guard(name, func() (struct{}, error) { part(); return struct{}{}, nil }); err != nil {
+			s.fail(err)
+		}
+	})
+}
+
+// fail ends the term with a cause, and logs where it panicked if it did.
+func (s *session) fail(cause error) {
+	var panicked *panics.Error
+	if errors.As(cause, &panicked) {
+		metrics.GetOrRegisterCounter("coordinator.panics", s.Metrics).Inc(1)
+		s.Log.WithFields(log.Fields{"token": s.currentTerm.Token, "cause": cause, "stack": panicked.Stack}).Error("coordinator: the term ends after a panic")
+	}
+	s.cancel(cause)
+}
+
 // termEndReason names the cause of a term's end for the metrics.
 func termEndReason(cause error) string {
 	switch {
@@ -188,6 +224,20 @@
 	s.Log.WithFields(log.Fields(fields)).WithField("token", s.currentTerm.Token).Info("scheduler: " + event)
 }
 
+// locked calls do with the session's lock. It gives the lock back also after a panic, so that the term can end.
+func (s *session) locked(do func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do()
+}
+
+// listing returns what is known of a target's entry; without a valid address if that is nothing.
+func (s *session) listing(targetID string) target.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan.TargetStatus(time.Now(), targetID).Listing
+}
+
 // requestStep wakes stepLoop.
 func (s *session) requestStep() {
 	select {
--- a/internal/coordinator/deployment_test.go
+++ b/internal/coordinator/deployment_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/catalogue"
@@ -87,6 +88,8 @@
 	// wrapTargets, if set, changes how they reach the targets.
 	maxValueBytes int64
 	wrapTargets   func(target.Targets) target.Targets
+	// wrapLog, if set, changes the log of the hosts that start from now on.
+	wrapLog func(log.Interface) log.Interface
 }
 
 func newDeployment(t *testing.T, seed int64) *deployment {
@@ -163,6 +166,9 @@
 
 func (d *deployment) startHost(i int) {
 	hostLog := d.trace.named(fmt.Sprintf("host%d", i))
+	if d.wrapLog != nil {
+		hostLog = d.wrapLog(hostLog)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	d.stopHost[i], d.hostEnded[i] = stop, make(chan struct{})
 	started := time.Now()
--- a/internal/coordinator/orders.go
+++ b/internal/coordinator/orders.go
@@ -30,7 +30,7 @@
 			asks = a.sendStop(ctx, stop) || asks
 		}
 		if asks {
-			a.session.group.Go(func() { a.askForReport(ctx) })
+			a.session.run("coordinator: request for a report of "+a.targetID, func() { a.askForReport(ctx) })
 		}
 		for _, start := range starts {
 			a.sendStart(ctx, start)
@@ -42,7 +42,7 @@
 
 // retryLater runs order again after retryInterval, unless the term ends before.
 func (a *agent) retryLater(ctx context.Context, order func()) {
-	a.session.group.Go(func() {
+	a.session.run("coordinator: order to "+a.targetID, func() {
 		if sleep(ctx, retryInterval) {
 			order()
 		}
@@ -57,27 +57,25 @@
 	if !sleep(ctx, askDelay) || !s.maySendOrders() {
 		return
 	}
-	s.mu.Lock()
-	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
-	s.mu.Unlock()
+	to := s.listing(a.targetID)
 	if !to.Address.IsValid() {
 		return
 	}
 	sent := time.Now()
 	report, reply := s.Targets.Renew(ctx, to, target.RenewOrder{FenceToken: s.currentTerm.Token})
 	metrics.GetOrRegisterCounter("target.ask."+reply.Answer.String(), s.Metrics).Inc(1)
-	s.mu.Lock()
-	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
-	switch reply.Answer {
-	case target.Accepted:
-		s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
-		a.recordRequest(sent, report, s.plan.TargetStatus(time.Now(), a.targetID).Listing.Born)
-	case target.Fenced:
-		s.cancel(errFenced)
-	default:
-		a.unanswered = true
-	}
-	s.mu.Unlock()
+	s.locked(func() {
+		s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
+		switch reply.Answer {
+		case target.Accepted:
+			s.plan.ReportReceived(time.Now(), a.targetID, sent, report)
+			a.recordRequest(sent, report, s.plan.TargetStatus(time.Now(), a.targetID).Listing.Born)
+		case target.Fenced:
+			s.cancel(errFenced)
+		default:
+			a.unanswered = true
+		}
+	})
 	s.requestStep()
 }
 
@@ -85,9 +83,7 @@
 // whether a report that is asked for now may show that the run does not exist.
 func (a *agent) sendStop(ctx context.Context, stop scheduler.Stop) bool {
 	s := a.session
-	s.mu.Lock()
-	to := s.plan.TargetStatus(time.Now(), a.targetID).Listing
-	s.mu.Unlock()
+	to := s.listing(a.targetID)
 	if !to.Address.IsValid() {
 		a.retryStop(ctx, stop)
 		return false
@@ -99,19 +95,19 @@
 	sent := time.Now()
 	reply := s.Targets.Stop(ctx, to, stop.Run, s.currentTerm.Token)
 	a.recordReply("stop", reply, log.Fields{"run": stop.Run, "born": to.Born, "took": time.Since(sent)})
-	s.mu.Lock()
-	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
-	asks := s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
-	s.mu.Unlock()
+	asks := false
+	s.locked(func() {
+		s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
+		asks = s.plan.StopAnswered(time.Now(), stop, to.Born, reply)
+	})
 	a.retryStop(ctx, stop)
 	return asks
 }
 
 // retryStop sends a stop again later unless it is no longer needed.
 func (a *agent) retryStop(ctx context.Context, stop scheduler.Stop) {
-	a.session.mu.Lock()
-	wanted := a.session.plan.StopPending(stop)
-	a.session.mu.Unlock()
+	wanted := false
+	a.session.locked(func() { wanted = a.session.plan.StopPending(stop) })
 	if wanted {
 		a.retryLater(ctx, func() { a.stop(stop) })
 	}
@@ -125,21 +121,59 @@
 		a.holdBack(ctx, start, "the lease of the term may have ended")
 		return
 	}
+	decided := a.decideStart(start)
+	switch {
+	case decided.heldBack != "":
+		a.holdBack(ctx, start, decided.heldBack)
+		return
+	case decided.dropped != "":
+		a.logDropped("start", start.Run, decided.dropped)
+		return
+	case !decided.wanted:
+		return
+	}
+	to, order := decided.to, decided.order
+	sent := time.Now()
+	reply := s.Targets.Start(ctx, to, order)
+	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
+	if reply.Answer == target.Unverified {
+		a.verify(ctx, start)
+		return
+	}
+	s.locked(func() {
+		a.unverified = 0
+		s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
+		s.plan.StartAnswered(time.Now(), start, reply)
+	})
+	if reply.Answer == target.Unanswered {
+		a.retryLater(ctx, func() { a.start(start) })
+	}
+}
+
+// startDecision says what becomes of a start that is due: it is held back or dropped for a reason, sent as an order
+// to a target, or no longer wanted.
+type startDecision struct {
+	heldBack, dropped string
+	wanted            bool
+	to                target.Listing
+	order             target.StartOrder
+}
+
+// decideStart decides what becomes of a start.
+func (a *agent) decideStart(start scheduler.Start) startDecision {
+	s := a.session
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if reason := s.outdated(time.Now()); reason != "" {
-		s.mu.Unlock()
-		a.holdBack(ctx, start, reason)
-		return
+		return startDecision{heldBack: reason}
 	}
 	status := s.plan.TargetStatus(time.Now(), a.targetID)
 	if status.Suspect || status.Unresponsive || status.Withheld {
-		wanted := s.plan.StartHeldBack(time.Now(), start)
-		if !wanted || status.Unresponsive || status.Withheld {
-			s.mu.Unlock()
-			if wanted {
-				a.holdBack(ctx, start, "the target leaves renewals unanswered, or the record for a successor lists it")
-			}
-			return
+		if !s.plan.StartHeldBack(time.Now(), start) {
+			return startDecision{}
+		}
+		if status.Unresponsive || status.Withheld {
+			return startDecision{heldBack: "the target leaves renewals unanswered, or the record for a successor lists it"}
 		}
 	}
 	if status.TakesNoStarts || status.Cordoned {
@@ -148,47 +182,26 @@
 			reason = "its target is cordoned"
 		}
 		s.plan.StartWithdrawn(time.Now(), start, reason)
-		s.mu.Unlock()
-		a.logDropped("start", start.Run, reason)
-		return
+		return startDecision{dropped: reason}
 	}
-	wanted := s.plan.StartSent(start)
-	to := status.Listing
+	decided := startDecision{wanted: s.plan.StartSent(start), to: status.Listing}
 	payload, checkpoint := s.plan.StartPayload(start)
-	order := target.StartOrder{
+	decided.order = target.StartOrder{
 		Run: start.Run, Payload: payload, Checkpoint: checkpoint, FenceToken: s.currentTerm.Token, Deadline: s.plan.Deadline(time.Now(), a.targetID),
 	}
-	if a.reportedBy == to.Born && a.unverified < maxUnverified {
-		order.ReportRequested = a.reportRequested
-	}
-	s.mu.Unlock()
-	if !wanted {
-		return
-	}
-	sent := time.Now()
-	reply := s.Targets.Start(ctx, to, order)
-	a.recordReply("start", reply, log.Fields{"run": start.Run, "born": to.Born, "deadline": order.Deadline, "took": time.Since(sent)})
-	if reply.Answer == target.Unverified {
-		a.verify(ctx, start)
-		return
-	}
-	s.mu.Lock()
-	a.unverified = 0
-	s.plan.OrderAnswered(time.Now(), a.targetID, sent, reply.Answer)
-	s.plan.StartAnswered(time.Now(), start, reply)
-	s.mu.Unlock()
-	if reply.Answer == target.Unanswered {
-		a.retryLater(ctx, func() { a.start(start) })
+	if a.reportedBy == status.Listing.Born && a.unverified < maxUnverified {
+		decided.order.ReportRequested = a.reportRequested
 	}
+	return decided
 }
 
 // verify asks the target for a report before a start is sent: no connection is open that was so when the last one
 // was requested, so it may have started again, as another kind of target.
 func (a *agent) verify(ctx context.Context, start scheduler.Start) {
-	a.session.mu.Lock()
-	a.unverified++
-	a.session.plan.StartNotSent(start)
-	a.session.mu.Unlock()
+	a.session.locked(func() {
+		a.unverified++
+		a.session.plan.StartNotSent(start)
+	})
 	a.askForReport(ctx)
 	a.start(start)
 }
--- a/internal/coordinator/removal.go
+++ b/internal/coordinator/removal.go
@@ -16,9 +16,9 @@
 // cancellations that have bound no job.
 func (s *session) expire(ctx context.Context) error {
 	for sleep(ctx, expiryPeriod) {
-		s.mu.Lock()
-		expired, cancellations := s.plan.Expired(time.Now()), s.plan.ExpiredCancellations(time.Now())
-		s.mu.Unlock()
+		var expired []string
+		var cancellations []records.Cancellation
+		s.locked(func() { expired, cancellations = s.plan.Expired(time.Now()), s.plan.ExpiredCancellations(time.Now()) })
 		for _, id := range expired {
 			if err := s.removeJob(ctx, id); err != nil {
 				break
@@ -38,13 +38,13 @@
 // another revision: an earlier removal got no answer and was carried out, and the ID may have been
 // used again since. The error is that of the store.
 func (s *session) removeJob(ctx context.Context, id string) error {
-	s.mu.Lock()
-	submitted := s.submissions[id]
-	keys := []string{records.SubmittedKey(id), records.ProgressKey(id)}
-	for _, cancellation := range s.plan.Cancellations(id) {
-		keys = append(keys, cancellation.Key())
-	}
-	s.mu.Unlock()
+	submitted, keys := int64(0), []string{records.SubmittedKey(id), records.ProgressKey(id)}
+	s.locked(func() {
+		submitted = s.submissions[id]
+		for _, cancellation := range s.plan.Cancellations(id) {
+			keys = append(keys, cancellation.Key())
+		}
+	})
 	result, err := s.remove(ctx, id, keyvalue.Expectation{Key: records.SubmittedKey(id), Revision: submitted}, keys)
 	if err != nil {
 		return err
@@ -74,9 +74,8 @@
 // removeCancellation removes a mark that has bound no job: none was submitted under the ID, or only
 // another organisation's. The error is that of the store.
 func (s *session) removeCancellation(ctx context.Context, cancellation records.Cancellation) error {
-	s.mu.Lock()
-	submitted := s.submissions[cancellation.Job]
-	s.mu.Unlock()
+	submitted := int64(0)
+	s.locked(func() { submitted = s.submissions[cancellation.Job] })
 	keys := []string{cancellation.Key()}
 	result, err := s.remove(ctx, cancellation.Job, keyvalue.Expectation{Key: records.SubmittedKey(cancellation.Job), Revision: submitted}, keys)
 	if err != nil || !result.Applied {
--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -8,7 +8,9 @@
 	"github.com/apex/log"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/records"
+	"github.com/eelgrasstide/eelgrasstide/internal/target"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 	"github.com/eelgrasstide/eelgrasstide/internal/workload"
 )
@@ -148,7 +150,7 @@
 		s.plan.TargetUnlisted(time.Now(), id)
 		return
 	}
-	listing, err := s.ReadListing(item.Key, item.Value)
+	listing, err := panics.Guard("coordinator: entry decoder", func() (target.Listing, error) { return s.ReadListing(item.Key, item.Value) })
 	if err != nil {
 		s.Log.WithError(err).WithField("key", item.Key).Warn("coordinator: an entry is ignored")
 		return
@@ -174,11 +176,11 @@
 			continue
 		}
 		after = events.Revision
-		s.mu.Lock()
-		s.jobsSeen = sent
-		s.processJobs(items, nil)
-		maps.DeleteFunc(s.removals, func(_ string, revision int64) bool { return revision <= after })
-		s.mu.Unlock()
+		s.locked(func() {
+			s.jobsSeen = sent
+			s.processJobs(items, nil)
+			maps.DeleteFunc(s.removals, func(_ string, revision int64) bool { return revision <= after })
+		})
 		if len(items) > 0 {
 			s.requestStep()
 		}
@@ -204,11 +206,11 @@
 		if len(events.Items) == 0 {
 			continue
 		}
-		s.mu.Lock()
-		for _, item := range events.Items {
-			s.processTarget(item)
-		}
-		s.mu.Unlock()
+		s.locked(func() {
+			for _, item := range events.Items {
+				s.processTarget(item)
+			}
+		})
 		s.requestStep()
 		sleep(ctx, heartbeatInterval)
 	}
--- a/internal/intake/breaker.go
+++ b/internal/intake/breaker.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrasstide/eelgrasstide/internal/errkind"
 	"github.com/eelgrasstide/eelgrasstide/internal/keyvalue"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 )
 
 const (
@@ -133,7 +134,7 @@
 	start, refused, lastErr := time.Now(), 0, error(nil)
 	for range probeReads {
 		go func() {
-			item, err := i.Store.Get(ctx, key)
+			item, err := panics.Guard("intake: read before a write", func() (*keyvalue.Item, error) { return i.Store.Get(ctx, key) })
 			answers <- answer{item, err}
 		}()
 		next := time.After(probeReadPeriod)
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
 )
 
@@ -58,7 +59,10 @@
 	ctx, cancel := context.WithTimeout(ctx, m.Heartbeat)
 	defer cancel()
 	host := m.Peers.Host(address)
-	response, err := host.Heartbeat(ctx, &wire.HeartbeatRequest{Sender: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings(), Cordons: m.Cordons()})
+	beat := func() (*wire.HeartbeatResponse, error) {
+		return host.Heartbeat(ctx, &wire.HeartbeatRequest{Sender: m.record(), ConfigurationRevision: m.Revision(), Sightings: m.sightings(), Cordons: m.Cordons()})
+	}
+	response, err := panics.Guard("membership: heartbeat", beat)
 	if err != nil {
 		m.Peers.CloseIdle()
 		return
--- a/internal/planner/pass.go
+++ b/internal/planner/pass.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/placement"
 	"github.com/eelgrasstide/eelgrasstide/internal/store"
 	"github.com/eelgrasstide/eelgrasstide/internal/wire"
@@ -178,7 +179,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
-			response, err := call(ctx, w.client, i)
+			response, err := panics.Guard("planner: call of a worker", func() (*wire.WorkerResponse, error) { return call(ctx, w.client, i) })
 			text := response.GetRefusal().String()
 			if err != nil {
 				text = err.Error()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/leadership"
+	"github.com/eelgrasstide/eelgrasstide/internal/panics"
 	"github.com/eelgrasstide/eelgrasstide/internal/placement"
 	"github.com/eelgrasstide/eelgrasstide/internal/rules"
 	"github.com/eelgrasstide/eelgrasstide/internal/store"
@@ -284,7 +285,7 @@
 func (p *Planner) renewWorker(ctx context.Context, w *workerState, req *wire.RenewRequest) (stale bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	status, err := w.client.Renew(ctx, req)
+	status, err := panics.Guard("planner: renewal", func() (*wire.WorkerStatus, error) { return w.client.Renew(ctx, req) })
 	if err != nil {
 		return false
 	}
