The soak starts hosts while their peers are in trouble

Change: startInTrouble kills one host or all and starts them while their links to the store, or a target's, are silent, lose requests or answers, or refuse. Each host has to be ready and serve within 12 s after the last fault; a process that ends by itself and a log line that reports a panic or an ended loop are violations.

--- a/test/soak/deployment.go
+++ b/test/soak/deployment.go
@@ -47,6 +47,8 @@
 	fleet        *batchtarget.Fleet
 	hosts        []*host
 	targets      []*targetLink
+	// keepsConnections says that the targets keep connections open after an answer.
+	keepsConnections bool
 	// refusal is the status with which the store refuses all calls; 0 for none.
 	refusal atomic.Int64
 
@@ -80,13 +82,15 @@
 	d.counts[name]++
 }
 
-// serve starts a stand-in on a loopback address and returns the address.
-func serve(handler http.Handler) (netip.AddrPort, error) {
+// serve starts a stand-in on a loopback address and returns the address. Without keeps, the stand-in closes each
+// connection after its answer.
+func serve(handler http.Handler, keeps bool) (netip.AddrPort, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server.SetKeepAlivesEnabled(keeps)
 	go func() { fmt.Println("soak: a stand-in ended:", server.Serve(listener)) }()
 	return netip.MustParseAddrPort(listener.Addr().String()), nil
 }
@@ -99,7 +103,9 @@
 	}
 	var err error
 	refusalStatus := func() int { return int(d.refusal.Load()) }
-	if d.storeAddress, err = serve(&platformtest.Store{Service: d.store, RefusalStatus: refusalStatus}); err != nil {
+	connections := rand.New(rand.NewPCG(seed, 4))
+	d.keepsConnections = connections.IntN(2) == 0
+	if d.storeAddress, err = serve(&platformtest.Store{Service: d.store, RefusalStatus: refusalStatus}, connections.IntN(2) == 0); err != nil {
 		return nil, err
 	}
 	d.config = catalogue.Catalogue{
@@ -171,7 +177,7 @@
 		return nil
 	}
 	id := fmt.Sprintf("t%d", i)
-	address, err := serve(&platformtest.Target{ID: id, Fleet: d.fleet})
+	address, err := serve(&platformtest.Target{ID: id, Fleet: d.fleet}, d.keepsConnections)
 	if err != nil {
 		return err
 	}
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -32,6 +32,10 @@
 	// disturbed is when the last disturbance other than a SIGTERM ended, and stopping when the
 	// last SIGTERM was sent.
 	disturbed, stopping time.Time
+	// ending says that a signal that ends the process was sent; ownEnds describes the ends of processes to which
+	// none was.
+	ending  bool
+	ownEnds []string
 	// version is the highest version of the configuration that this incarnation was seen to use.
 	version int64
 }
@@ -70,15 +74,19 @@
 	if err := h.command.Start(); err != nil {
 		return err
 	}
-	h.version, h.frozen, h.disturbed = 0, false, time.Now()
+	h.version, h.frozen, h.disturbed, h.ending = 0, false, time.Now(), false
 	ended := make(chan struct{})
 	h.ended = ended
 	command := h.command
 	go func() {
 		defer close(ended)
 		defer output.Close()
-		if err := command.Wait(); err != nil {
-			fmt.Fprintf(output, "soak: the process ended: %v\n", err)
+		err := command.Wait()
+		fmt.Fprintf(output, "soak: the process ended: %v\n", err)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if !h.ending {
+			h.ownEnds = append(h.ownEnds, fmt.Sprint(err))
 		}
 	}()
 	return nil
@@ -111,6 +119,7 @@
 	if !h.isRunning() {
 		return
 	}
+	h.ending = h.ending || signal == syscall.SIGKILL || signal == syscall.SIGTERM
 	if err := h.command.Process.Signal(signal); err != nil {
 		fmt.Fprintf(os.Stderr, "soak: %s: %v\n", h.Name, err)
 	}
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -1,6 +1,7 @@
 // Command soak runs entry hosts as separate processes against stand-ins for the platform, injects
 // overlapping faults and checks the guarantees of the system meanwhile. It checks only what
-// callers and targets observe, not the internal state of the hosts.
+// callers, targets and the load balancer observe, not the internal state of the hosts, and that their logs report no
+// defect.
 package main
 
 import (
@@ -148,9 +149,14 @@
 	}
 	group.Go(func() { d.watchConfiguration(loadContext, d.newCaller(seed, callerCount)) })
 	group.Go(func() { d.cordonZones(loadContext, rand.New(rand.NewPCG(seed, 2))) })
+	var disturbances sync.WaitGroup
+	disturbances.Go(func() { d.startInTrouble(loadContext, rand.New(rand.NewPCG(seed, 3))) })
 	names := d.injectFaults(loadContext)
+	disturbances.Wait()
 	d.clearFaults()
+	d.checkServing(d.newCaller(seed, callerCount+1))
 	group.Wait()
+	d.checkLogs()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.violations = append(d.violations, d.fleet.Violations()...)
