Work for a gang takes time in proportion to its members

Cause: what follows from all members of a run was worked out for each member, and within that for each again: with the cube of the members in a step and in the load digest, with their square in reports, cancellations and held-back starts.

Change: outlook keeps it for a round (a pass, a report, a check, a digest); members know that they are closed, units that they are stopped; the members on a target and the tasks that are away are counted once. A step that goes on for 1 s is logged and counted (scheduler.slowSteps).

Not played over processes.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -34,6 +34,8 @@
 	// maxStepPause.
 	stepPauseFactor = 3
 	maxStepPause    = 120 * time.Millisecond
+	// slowStep is how long a step may take before that is logged.
+	slowStep = time.Second
 	// retryInterval is the pause before a failed call or an unanswered order is repeated.
 	retryInterval = 150 * time.Millisecond
 	// maxWatchWait bounds a watch on targets, and jobWatchWait one on jobs: a connection that went
@@ -285,7 +287,9 @@
 		case <-timer.C:
 		}
 		begun := time.Now()
+		slow := time.AfterFunc(slowStep, s.logSlowStep)
 		next := s.step()
+		slow.Stop()
 		timer.Reset(next)
 		if !sleep(ctx, pauseAfterStep(time.Since(begun))) {
 			return ctx.Err()
@@ -293,6 +297,13 @@
 	}
 }
 
+// logSlowStep logs a step that goes on for slowStep. The term stays with this host: another one would take as long for
+// the same step.
+func (s *session) logSlowStep() {
+	metrics.GetOrRegisterCounter("scheduler.slowSteps", s.Metrics).Inc(1)
+	s.Log.WithFields(log.Fields{"token": s.currentTerm.Token, "lasted": slowStep}).Error("coordinator: a step goes on for long; nothing else is planned meanwhile")
+}
+
 // pauseAfterStep returns how long no step is made after one that took so long. Steps take at most a
 // quarter of the time, so that orders and reports have the rest of a busy host's processor.
 func pauseAfterStep(took time.Duration) time.Duration {
--- a/internal/scheduler/await.go
+++ b/internal/scheduler/await.go
@@ -70,8 +70,5 @@
 	if u.step.spec.LongRunning || !until.After(p.now) {
 		return false
 	}
-	if !u.expectedEndAt.Equal(p.now) {
-		u.expectedEnd, u.expectedEndAt = p.now.Add(p.s.remainingTime(p.now, u)), p.now
-	}
-	return !u.expectedEnd.After(until)
+	return !p.now.Add(p.s.remainingTime(p.now, u)).After(until)
 }
--- a/internal/scheduler/capacity.go
+++ b/internal/scheduler/capacity.go
@@ -10,6 +10,7 @@
 // begin prepares a pass with the targets that may be given new work.
 func (p *pass) begin(s *Scheduler, now time.Time) {
 	p.s, p.now, p.reservations, p.searches = s, now, 0, 0
+	s.beginRound()
 	p.empty()
 	p.countWarmTasks()
 	s.cordonWaits.begin(s, now)
@@ -56,10 +57,13 @@
 func (p *pass) empty() {
 	if p.unplaceable == nil {
 		p.unplaceable, p.couldHold, p.rackIndex, p.usage = map[unitRequirements]bool{}, map[unitRequirements]bool{}, map[string]int{}, map[string]*usage{}
+		p.away = map[*step]int{}
 	}
 	clear(p.unplaceable)
 	clear(p.couldHold)
 	p.covered, p.urgentUse = nil, nil
+	clear(p.away)
+	p.victimMembers = p.victimMembers[:0]
 	clear(p.usage)
 	for i := range p.racks {
 		p.racks[i], p.rackFree[i] = p.racks[i][:0], workload.Resources{}
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -57,15 +57,6 @@
 	return max(0, n.cold.remaining-passed)
 }
 
-// unitColdLeft returns how much longer a target of a unit's run is cold: the slowest target sets the pace.
-func (s *Scheduler) unitColdLeft(now time.Time, u *unit) time.Duration {
-	left := time.Duration(0)
-	for _, m := range u.members {
-		left = max(left, s.coldLeft(now, m.node))
-	}
-	return left
-}
-
 // ColdTargets counts the listed targets that are cold.
 func (s *Scheduler) ColdTargets(now time.Time) int {
 	count := 0
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -83,8 +83,9 @@
 	// failedRuns holds the numbers of the runs that are counted in failures.
 	failedRuns []int
 	startedAt  time.Time
-	// expectedEnd is when the current run was expected to end at expectedEndAt, the time of a pass.
-	expectedEnd, expectedEndAt time.Time
+	// stoppedRun is the run of which all members have been stopped or closed; 0 if that may not be so.
+	stoppedRun int
+	outlook    outlook
 	// preempted counts how often the unit was stopped to free capacity for another job.
 	preempted int
 	// moves counts how often the unit was moved for lack of progress.
@@ -123,6 +124,8 @@
 	// accepted the stop.
 	stopDecided      time.Time
 	stopAcknowledged time.Time
+	// closed says that the member is known not to be running and belongs to its unit no more.
+	closed bool
 }
 
 type memberState int
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -63,6 +63,7 @@
 // pools returns the capacity of each service with the runs that use it, and adds the services' sizes to the
 // digest.
 func (s *Scheduler) pools(now time.Time, d *load.Digest) map[string]*pool {
+	s.beginRound()
 	pools := map[string]*pool{}
 	listed, reported := 0, 0
 	for _, n := range s.ordered {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -85,6 +85,10 @@
 	// how many accelerators its runs of priority 0 use. Both are nil until they are needed.
 	covered   map[string]bool
 	urgentUse map[string]int64
+	// victimMembers holds members of the units that may be stopped; see victim.
+	victimMembers []*member
+	// away counts the tasks of long-running steps that are not at work, where that is known.
+	away map[*step]int
 	// searches counts the searches for runs to stop that found none worthwhile.
 	searches int
 	// unplaceable holds the requirements for which no target had enough free capacity in this
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -135,6 +135,7 @@
 		n.reserved = c.step
 	}
 	p.urgentUse = nil
+	clear(p.away)
 	for _, v := range found.victims {
 		v.unit.preempted++
 		p.s.dirty[v.unit.step.job.ID] = v.unit.step.job
@@ -254,12 +255,12 @@
 		if members >= count {
 			break
 		}
-		if !p.isVictim(v.unit, c, n) || p.endsBy(v.unit, until) || !budget.spend([]victim{v}) {
+		if !p.isVictim(v, c) || p.endsBy(v.unit, until) || !budget.spend([]victim{v}) {
 			continue
 		}
 		next.victims, next.rank, next.class = append(next.victims, v), next.rank+v.rank, max(next.class, v.class)
-		for _, m := range v.unit.members {
-			if m.node == n.node {
+		for _, m := range p.victimMembers[v.from:v.to] {
+			if !m.closed {
 				r.release(v.unit.step)
 			}
 		}
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -168,8 +168,11 @@
 		if u.done || len(u.members) > 0 && u.failures == 0 {
 			well++
 		}
+		if well > len(j.failedOn) {
+			return false
+		}
 	}
-	return well <= len(j.failedOn)
+	return true
 }
 
 func (j *job) addFailedOn(id string) {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/eelgrasstide/eelgrasstide/internal/target"
@@ -69,7 +68,7 @@
 	if m.unit.step.spec.LongRunning {
 		return
 	}
-	p, cold := &m.progress, s.unitColdLeft(now, m.unit) > 0
+	p, cold := &m.progress, s.outlook(now, m.unit).coldLeft > 0
 	if p.at.IsZero() || running.Percent < p.percent || cold != p.cold {
 		// A rate from before and after the end of the cold time would tell neither speed.
 		*p = progress{percent: running.Percent, at: now, increasedAt: now, reportedAt: now, firstAt: now, firstPercent: running.Percent, cold: cold}
@@ -118,9 +117,14 @@
 
 // nodes returns the targets of a unit's run, each once.
 func (u *unit) nodes() []*node {
+	if len(u.members) == 1 {
+		return []*node{u.members[0].node}
+	}
 	var out []*node
+	seen := map[*node]bool{}
 	for _, m := range u.members {
-		if !slices.Contains(out, m.node) {
+		if !seen[m.node] {
+			seen[m.node] = true
 			out = append(out, m.node)
 		}
 	}
@@ -140,20 +144,11 @@
 	return 1
 }
 
-// remainingTime returns how long a unit's run is expected to continue on its present targets,
-// which is the time of its slowest member.
-func (s *Scheduler) remainingTime(now time.Time, u *unit) time.Duration {
-	longest := time.Duration(0)
-	for _, m := range u.members {
-		longest = max(longest, s.memberRemainingTime(now, m))
-	}
-	return longest
-}
-
 func (s *Scheduler) memberRemainingTime(now time.Time, m *member) time.Duration {
 	p, u := &m.progress, m.unit
-	total := s.taskDuration(u.step).Seconds() * u.remoteSlowdown(s.Limits.RemoteFactor) / max(m.node.speed, minSpeed)
-	coldLeft := s.unitColdLeft(now, u).Seconds()
+	o := s.outlook(now, u)
+	total := s.taskDuration(u.step).Seconds() * o.remoteSlowdown / max(m.node.speed, minSpeed)
+	coldLeft := o.coldLeft.Seconds()
 	if p.at.IsZero() {
 		ran := runningFor(now, u).Seconds()
 		if coldLeft > 0 {
@@ -183,14 +178,10 @@
 
 // timeIfMoved returns how long a run would take if it were moved to a target of speed 1, from
 // its checkpoint if it has one and otherwise from the start.
-func (s *Scheduler) timeIfMoved(u *unit) time.Duration {
+func (s *Scheduler) timeIfMoved(now time.Time, u *unit) time.Duration {
 	remaining := 1.0
 	if u.step.spec.Checkpointing && u.checkpoint != "" {
-		least := 100
-		for _, m := range u.members {
-			least = min(least, m.progress.percent)
-		}
-		remaining = float64(100-least) / 100
+		remaining = float64(100-s.outlook(now, u).leastPercent) / 100
 	}
 	return moveOverhead + time.Duration(remaining*float64(s.taskDuration(u.step)))
 }
@@ -198,6 +189,7 @@
 // moveSlowRuns stops runs that are stalled or very slow, so that they start again on other
 // targets. A run is moved only if it would take at least moveFactor times as long where it is.
 func (s *Scheduler) moveSlowRuns(now time.Time) {
+	s.beginRound()
 	var slow []*member
 	for _, n := range s.ordered {
 		for _, m := range n.sorted {
@@ -224,7 +216,7 @@
 	if !stalled && (runningFor(now, u) < slowAfter || p.cold) {
 		return false
 	}
-	return float64(s.memberRemainingTime(now, m)) >= moveFactor*float64(s.timeIfMoved(u))
+	return float64(s.memberRemainingTime(now, m)) >= moveFactor*float64(s.timeIfMoved(now, u))
 }
 
 // move stops a slow run, so that its unit starts again elsewhere.
@@ -237,7 +229,7 @@
 		s.blameStall(now, u)
 	}
 	s.log("run moved", Fields{
-		"job": u.step.job.ID, "run": m.run, "target": n.ID, "percent": m.progress.percent, "here": s.memberRemainingTime(now, m), "there": s.timeIfMoved(u),
+		"job": u.step.job.ID, "run": m.run, "target": n.ID, "percent": m.progress.percent, "here": s.memberRemainingTime(now, m), "there": s.timeIfMoved(now, u),
 		"stalled": stalled, "speed": n.speed,
 	})
 	s.stopUnit(now, u, "it makes too little progress")
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -33,6 +33,7 @@
 			s.runEnded(now, n, end)
 		}
 	}
+	s.beginRound()
 	listed := make(map[target.Run]bool, len(report.Running))
 	for _, running := range report.Running {
 		listed[running.Run] = true
@@ -298,7 +299,7 @@
 		delete(n.startsUnderWay, start.Run)
 	}
 	if m := s.member(start.Target, start.Run); m != nil && m.state == memberStartSent && !m.startUnanswered {
-		m.state = memberAwaitingWrite
+		m.state, m.unit.stoppedRun = memberAwaitingWrite, 0
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -56,6 +56,8 @@
 	toCheckAttempts map[string]*job
 	// ends holds the targets of which ended runs were processed since the last step.
 	ends map[string]*node
+	// round numbers the times during which outlooks hold; see beginRound.
+	round int64
 	// checkedAt is when the conditions that depend on the time alone were last checked.
 	checkedAt time.Time
 	pass      pass
@@ -302,7 +304,11 @@
 
 // stopUnitWith stops a unit's current run and adds fields to the log of each stop.
 func (s *Scheduler) stopUnitWith(now time.Time, u *unit, reason string, details Fields) {
-	for _, m := range append([]*member(nil), u.members...) {
+	if u.stoppedRun == u.run && u.run > 0 {
+		return
+	}
+	u.stoppedRun = u.run
+	for _, m := range slices.Clone(u.members) {
 		if m.state == memberAwaitingWrite {
 			s.logClosed(now, m, "its start was withdrawn before it was sent: "+reason)
 			s.close(now, m, "its start was withdrawn before it was sent")
@@ -329,7 +335,7 @@
 
 // logClosed logs that a member is about to be closed, unless it is closed already.
 func (s *Scheduler) logClosed(now time.Time, m *member, reason string) {
-	if slices.Contains(m.unit.members, m) {
+	if !m.closed {
 		s.log("run closed", m.fields(now).with(Fields{"reason": reason}))
 	}
 }
@@ -338,11 +344,13 @@
 // the others, which may close them in turn, so it may be called again for the same member.
 func (s *Scheduler) close(now time.Time, m *member, reason string) {
 	u := m.unit
-	i := slices.Index(u.members, m)
-	if i < 0 {
+	if m.closed {
 		return
 	}
-	u.members = slices.Concat(u.members[:i], u.members[i+1:])
+	m.closed = true
+	if at, found := slices.BinarySearchFunc(u.members, m, compareMembers); found {
+		u.members = slices.Delete(u.members, at, at+1)
+	}
 	m.node.remove(m)
 	m.closeUse()
 	if len(u.members) == 0 && !u.done {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -24,11 +24,11 @@
 // fixture drives a scheduler with a simulated clock and simulated targets.
 type fixture struct {
 	*scheduler.Scheduler
-	t   *testing.T
+	t   testing.TB
 	now time.Time
 }
 
-func newFixture(t *testing.T, targets int) *fixture {
+func newFixture(t testing.TB, targets int) *fixture {
 	f := &fixture{t: t, now: start, Scheduler: &scheduler.Scheduler{Limits: scheduler.Limits{
 		TaskLease: lease, RenewalHorizon: horizon, RemoteFactor: 3, Retention: time.Minute, CheckpointPeriod: time.Second,
 	}}}
--- a/internal/scheduler/victim.go
+++ b/internal/scheduler/victim.go
@@ -7,8 +7,10 @@
 
 // victim is a unit whose run could be stopped to free capacity.
 type victim struct {
-	unit  *unit
-	class victimClass
+	unit *unit
+	// from and to bound the unit's members on the target in pass.victimMembers.
+	from, to int
+	class    victimClass
 	// loss is the value that stopping it costs, and rank is that times the share factor of its organisation:
 	// those above their fair part lose runs first, but no more runs are stopped for that.
 	loss, rank float64
@@ -44,13 +46,19 @@
 		return n.victims
 	}
 	n.victims, n.hasVictims = n.victims[:0], true
-	for _, m := range n.sorted {
-		u := m.unit
-		known := func(v victim) bool { return v.unit == u }
-		if m.state == memberAwaitingWrite || slices.ContainsFunc(n.victims, known) {
+	for i := 0; i < len(n.sorted); {
+		// The members of a unit stand next to each other, as they are ordered by their runs.
+		u, from, waitsForWrite := n.sorted[i].unit, len(p.victimMembers), true
+		for ; i < len(n.sorted) && n.sorted[i].unit == u; i++ {
+			p.victimMembers = append(p.victimMembers, n.sorted[i])
+			waitsForWrite = waitsForWrite && n.sorted[i].state == memberAwaitingWrite
+		}
+		if waitsForWrite {
 			continue
 		}
-		n.victims = append(n.victims, newVictim(u, p.s.loss(p.now, u), p.s.shareFactor(u.step.job)))
+		v := newVictim(u, p.s.loss(p.now, u), p.s.shareFactor(u.step.job))
+		v.from, v.to = from, len(p.victimMembers)
+		n.victims = append(n.victims, v)
 	}
 	slices.SortStableFunc(n.victims, func(a, b victim) int { return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.rank, b.rank)) })
 	return n.victims
@@ -64,7 +72,8 @@
 // not being stopped there already, and has not been stopped as often as the policy allows. An overdue
 // guarantee is not bound by that limit. For it alone long-running tasks are stopped, and runs of the same
 // priority that no guarantee covers, as far as stopBudget allows.
-func (p *pass) isVictim(u *unit, c *candidate, n *freeCapacity) bool {
+func (p *pass) isVictim(v victim, c *candidate) bool {
+	u := v.unit
 	switch {
 	case c.guaranteeOverdue:
 		if u.step.job == c.step.job || (u.step.job.terms.Priority == 0 && p.isCovered(u.step.job.Organisation)) {
@@ -73,7 +82,7 @@
 	case u.step.job.terms.Priority <= c.step.job.terms.Priority, u.step.spec.LongRunning, u.preempted >= p.s.Limits.Policy.MaxPreemptions:
 		return false
 	}
-	return slices.ContainsFunc(u.members, func(m *member) bool { return m.node == n.node && m.stopDecided.IsZero() })
+	return slices.ContainsFunc(p.victimMembers[v.from:v.to], func(m *member) bool { return !m.closed && m.stopDecided.IsZero() })
 }
 
 // isCovered reports whether an organisation's guarantee covers all its open jobs of priority 0.
@@ -129,7 +138,7 @@
 			b.away = map[*step]int{}
 		}
 		if _, known := b.away[st]; !known {
-			b.away[st] = st.countAway()
+			b.away[st] = b.pass.countAway(st)
 		}
 		b.away[st] += sign * members
 	}
@@ -146,13 +155,17 @@
 }
 
 // countAway counts the tasks of a long-running step that are not at work.
-func (st *step) countAway() int {
+func (p *pass) countAway(st *step) int {
+	if away, known := p.away[st]; known {
+		return away
+	}
 	away := 0
 	for _, u := range st.units {
 		if len(u.members) < st.spec.Members() || slices.ContainsFunc(u.members, func(m *member) bool { return !m.isAtWork() }) {
 			away += st.spec.Members()
 		}
 	}
+	p.away[st] = away
 	return away
 }
 
