Targets that have left are handed over at once

Cause: a successor assumes that leases were renewed until the former planner's horizon, unless that wrote when they end, which it did after 3 s of silence, also of a target that had said that it leaves.

Change: a target that drains, whose time is over or whose entry is gone, and that does not answer, is handed over at once. The first planner of all reckons with no starts of a former one. At most once is as before: nothing starts before the leases have ended.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -145,7 +145,7 @@
 		Coordinator: c, currentTerm: currentTerm, context: ctx, cancel: cancel, agents: map[string]*agent{}, stepSignal: make(chan struct{}, 1),
 		commitSignal: make(chan struct{}, 1), nextBatch: newBatch(), removals: map[string]int64{}, submissions: map[string]int64{}, shareGauges: map[string]bool{},
 	}
-	s.plan = &scheduler.Scheduler{Limits: c.Limits, Log: s.event}
+	s.plan = &scheduler.Scheduler{Limits: c.Limits, FirstTerm: currentTerm.Token == 1, Log: s.event}
 	err := s.lead(ctx)
 	metrics.GetOrRegisterCounter("coordinator.termEnded."+termEndReason(err), c.Metrics).Inc(1)
 	return err
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -133,7 +133,7 @@
 			silent = append(silent, n)
 		}
 	}
-	slices.SortStableFunc(silent, func(a, b *node) int { return a.silenceBegan().Compare(b.silenceBegan()) })
+	slices.SortStableFunc(silent, func(a, b *node) int { return a.silenceBegan(now).Compare(b.silenceBegan(now)) })
 	bytes := 0
 	for i, n := range silent {
 		if bytes += len(n.ID) + handoverEntryBytes; i >= maxHandoverTargets || bytes > maxHandoverBytes/2 {
@@ -143,7 +143,7 @@
 	return silent
 }
 
-// isSilent reports whether a target has runs and has not answered for handoverSilence. One that a former
+// isSilent reports whether a target has runs and has not answered for handoverSilence, or has left. One that a former
 // planner handed over is silent until it has reported. A start that is under way would be carried out
 // after the promise, so such a target is not handed over.
 func (s *Scheduler) isSilent(now time.Time, n *node) bool {
@@ -153,15 +153,18 @@
 	if !n.contacted {
 		return s.inheritedEnd(n) != nil || now.Sub(n.knownSince) > handoverSilence
 	}
-	return n.renewalSentAt.After(n.lastContact) && now.Sub(n.renewalSentAt) > handoverSilence
+	return n.hasLeft(now) || (n.renewalSentAt.After(n.lastContact) && now.Sub(n.renewalSentAt) > handoverSilence)
 }
 
 // silenceBegan returns since when a silent target has not answered, as far as this planner knows.
-func (n *node) silenceBegan() time.Time {
-	if n.contacted {
-		return n.renewalSentAt
-	}
-	return n.knownSince
+func (n *node) silenceBegan(now time.Time) time.Time {
+	switch {
+	case !n.contacted:
+		return n.knownSince
+	case n.hasLeft(now):
+		return n.lastContact
+	}
+	return n.renewalSentAt
 }
 
 // inheritedEnd returns when the leases of former planners on a target that has not reported have ended,
@@ -185,7 +188,9 @@
 	if inherited := s.inheritedEnd(n); inherited != nil {
 		formerStarts = *inherited
 	}
-	end = later(end, formerStarts)
+	if !s.FirstTerm {
+		end = later(end, formerStarts)
+	}
 	for _, late := range n.lateStarts {
 		end = later(end, late.sent.Add(lateOver))
 	}
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -100,6 +100,11 @@
 			f.startFirst(target.Accepted)
 			f.silence(3200 * time.Millisecond)
 		}, formerStarts - 3200*time.Millisecond},
+		"no former planner": {func(f *fixture) {
+			f.FirstTerm = true
+			f.startFirst(target.Accepted)
+			f.silence(3200 * time.Millisecond)
+		}, lease + 700*time.Millisecond - 1700*time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 2)
@@ -189,6 +194,60 @@
 	}
 }
 
+// Guards against: a target has left at the end of its drain, the planner is lost right after it, and its successor keeps
+// the target's tasks as running for as long as a former planner could have renewed their leases.
+func TestTargetThatHasLeftIsHandedOverAtOnce(t *testing.T) {
+	unlisted := func(f *fixture) { f.TargetUnlisted(f.now, "t0") }
+	unanswered := func(f *fixture) { f.OrderAnswered(f.now, "t0", f.now, target.Unanswered) }
+	for name, tt := range map[string]struct {
+		drains time.Duration
+		sign   func(*fixture)
+		// answers says that the target answers after the sign.
+		answers bool
+		want    bool
+	}{
+		"its entry is gone":                      {drains: time.Minute, sign: unlisted, want: true},
+		"its time is over and it doesn't answer": {drains: 2 * time.Second, sign: unanswered, want: true},
+		"its time is not over":                   {drains: time.Minute, sign: unanswered},
+		"its time is over and it answers":        {drains: 2 * time.Second, sign: func(*fixture) {}},
+		"it answers without an entry":            {drains: time.Minute, sign: unlisted, answers: true},
+		"it did not drain":                       {sign: unlisted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.advance(formerStarts)
+			f.report(0, target.Report{})
+			first := f.startFirst(target.Accepted)
+			listing := f.listing(0)
+			listing.Draining, listing.DrainRemaining = tt.drains > 0, tt.drains
+			f.TargetListed(f.now, listing)
+			for range 2 {
+				f.advance(time.Second)
+				f.RenewalSent(f.now, "t0")
+				f.Deadline(f.now, "t0")
+				f.report(0, target.Report{Running: []target.Running{{Run: first.Run}}})
+			}
+			f.advance(100 * time.Millisecond)
+			tt.sign(f)
+			f.advance(100 * time.Millisecond)
+			if tt.answers {
+				f.report(0, target.Report{Running: []target.Running{{Run: first.Run}}})
+			}
+			if have := f.HandoverChanged(f.now); have != tt.want {
+				t.Fatalf("HandoverChanged: have %t, want %t", have, tt.want)
+			}
+			if !tt.want {
+				return
+			}
+			// The planner granted 3.5 s last, and 6 s before it knew of the drain.
+			earliest, latest := 3300*time.Millisecond, lease
+			if have := f.succeed(f.OfferHandover(f.now)).startedAgainAfter(); have < earliest || have > latest {
+				t.Errorf("the successor starts the task elsewhere after %s, want %s to %s", have, earliest, latest)
+			}
+		})
+	}
+}
+
 // Guards against: the record of a silent zone and many organisations outgrows what the store takes.
 func TestHandoverIsBounded(t *testing.T) {
 	f := newFixture(t, 0)
--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -41,11 +41,15 @@
 type node struct {
 	target.Listing
 	listed bool
+	// unlistedAt is when its entry was last found to be gone.
+	unlistedAt time.Time
 	// entryBorn is the incarnation that wrote the entry. While it is not Born, what the entry says of the
 	// target (labels, capacity, service, zone) may not hold any more.
 	entryBorn int64
 	// drainsSince is when the target said that it drains, on the planner's clock; zero if it does not.
 	drainsSince time.Time
+	// drainedAt is when the time was over, on the planner's clock, that the entry of a target that drains gave it.
+	drainedAt time.Time
 	// incarnationSince is when the planner first heard of the incarnation Born, and
 	// formerIncarnations holds the Born of those before it. They are not ordered by Born, because
 	// a target's time of day may be set back.
@@ -178,6 +182,7 @@
 	case n.drainsSince.IsZero():
 		n.drainsSince = now.Add(-n.age(now, listing))
 	}
+	n.drainedAt = now.Add(listing.DrainRemaining - n.age(now, listing))
 	n.Listing, n.listed, n.entryBorn = listing, true, listing.Born
 	s.load.recordCapacity(listing.Service, listing.Capacity)
 	if !n.contacted && listing.Clock > n.clockLowerBound(now) {
@@ -219,11 +224,23 @@
 func (s *Scheduler) TargetUnlisted(now time.Time, id string) {
 	s.initialise()
 	if n := s.nodes[id]; n != nil && n.listed {
-		n.listed = false
+		n.listed, n.unlistedAt = false, now
 		s.log("target unlisted", n.fields(now).with(Fields{"runs": len(n.members)}))
 	}
 }
 
+// hasLeft reports whether the target is likely to have ended with all its runs: it drained, its time is over or its
+// entry gone, and it does not answer.
+func (n *node) hasLeft(now time.Time) bool {
+	if !n.Draining {
+		return false
+	}
+	if !n.listed && !n.lastContact.After(n.unlistedAt) {
+		return true
+	}
+	return n.suspect && (!n.listed || !now.Before(n.drainedAt))
+}
+
 // clockLowerBound returns a time that the target's clock is known to have reached.
 func (n *node) clockLowerBound(now time.Time) time.Duration {
 	if n.clockAt.IsZero() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 // It is not safe for concurrent use.
 type Scheduler struct {
 	Limits Limits
+	// FirstTerm says that there has been no planner before this one, so that no order of one can be carried out.
+	FirstTerm bool
 	// Log receives one event for each decision; nil discards them.
 	Log func(event string, fields Fields)
 
