A watch that cannot be read is followed by a read in full

Cause: a response beyond 8 MiB was cut off without an error; the follower repeated the same watch, 10 MB each time, until the history was gone.

Change: such a response is an error of the kind tooLarge. A watch that can't be read counts as a history that can't be had, for which all watches have a read in full; full reads follow each other after 0.15 s at the earliest.

--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -158,16 +158,17 @@
 	s.plan.TargetListed(time.Now(), listing)
 }
 
-// watchJobs watches submissions and cancellations. It lists them all again when the store has
-// compacted the history.
+// watchJobs watches submissions and cancellations. It lists them all again when their history can't be had.
 func (s *session) watchJobs(ctx context.Context) error {
-	after := s.jobs
+	after, listedAt := s.jobs, time.Time{}
 	for ctx.Err() == nil {
 		sent := time.Now()
 		events, err := s.Store.Watch(ctx, records.JobPrefix, after, jobWatchWait)
 		items := events.Items
 		if err == nil && events.Compacted {
-			s.Log.WithField("after", after).Warn("coordinator: the history of jobs has been compacted; listing them again")
+			s.Log.WithField("after", after).Warn("coordinator: the changes of jobs cannot be had; listing them again")
+			sleep(ctx, time.Until(listedAt.Add(retryInterval)))
+			sent, listedAt = time.Now(), time.Now()
 			items, events.Revision, err = s.Store.List(ctx, records.JobPrefix)
 		}
 		if err != nil {
@@ -190,11 +191,13 @@
 
 // watchTargets watches the targets' entries.
 func (s *session) watchTargets(ctx context.Context) error {
-	after := s.targetsRevision
+	after, listedAt := s.targetsRevision, time.Time{}
 	for ctx.Err() == nil {
 		events, err := s.Store.Watch(ctx, s.TargetPrefix, after, maxWatchWait)
 		if err == nil && events.Compacted {
-			s.Log.WithField("after", after).Warn("coordinator: the history of targets has been compacted; listing them again")
+			s.Log.WithField("after", after).Warn("coordinator: the changes of targets cannot be had; listing them again")
+			sleep(ctx, time.Until(listedAt.Add(retryInterval)))
+			listedAt = time.Now()
 			err = s.relistTargets(ctx, &events)
 		}
 		if err != nil {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -37,6 +37,8 @@
 
 	catalogue atomic.Pointer[catalogue.Catalogue]
 	cordons   atomic.Pointer[cordon.Set]
+	// readAt is when the operators' keys were last read in full. Only Run uses it.
+	readAt time.Time
 	// planningWait bounds the watches while this host is the planner, in nanoseconds; 0 if it is not.
 	planningWait atomic.Int64
 }
@@ -108,9 +110,12 @@
 	return min(max(wait, minWatchWait), maxWatchWait)
 }
 
-// read reads the operators' keys in full and returns the revision to watch from.
+// read reads the operators' keys in full and returns the revision to watch from. Reads follow each other after
+// retryInterval at the earliest, as each watch between them may fail at once.
 func (f *Follower) read(ctx context.Context) (int64, error) {
+	sleep(ctx, time.Until(f.readAt.Add(retryInterval)))
 	sent := time.Now()
+	f.readAt = sent
 	items, revision, err := f.Store.List(ctx, f.Layout.OperatorPrefix)
 	if err != nil {
 		return 0, err
@@ -120,8 +125,8 @@
 	return revision, nil
 }
 
-// watch waits for changes and returns the revision to watch from next. That is 0 if the store has
-// compacted the history, so that the keys have to be read in full.
+// watch waits for changes and returns the revision to watch from next. That is 0 if the history since then can't be
+// had, so that the keys have to be read in full.
 func (f *Follower) watch(ctx context.Context, after int64, wait time.Duration) (int64, error) {
 	sent := time.Now()
 	events, err := f.Store.Watch(ctx, f.Layout.OperatorPrefix, after, wait)
@@ -129,7 +134,7 @@
 		return after, err
 	}
 	if events.Compacted {
-		f.Log.WithField("after", after).Warn("entry: the store has compacted the operators' history; reading their keys in full")
+		f.Log.WithField("after", after).Warn("entry: the operators' changes cannot be had; reading their keys in full")
 		return 0, nil
 	}
 	f.cordon(f.Cordons(), events.Items, sent)
--- a/internal/entry/follower_test.go
+++ b/internal/entry/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,10 +38,47 @@
 	}
 }
 
+// deaf is a store of which no watch can be read.
+type deaf struct {
+	*batchstore.Store
+	lists atomic.Int32
+}
+
+func (d *deaf) Watch(context.Context, string, int64, time.Duration) (keyvalue.Events, error) {
+	return keyvalue.Events{Compacted: true}, nil
+}
+
+func (d *deaf) List(ctx context.Context, prefix string) ([]keyvalue.Item, int64, error) {
+	d.lists.Add(1)
+	return d.Store.List(ctx, prefix)
+}
+
+// Guards against: a host whose watches fail at once reads the operators' keys in full without a pause, or no more.
+func TestFollowerPausesBetweenFullReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		operators := &operators{Store: &batchstore.Store{}, t: t}
+		store := &deaf{Store: operators.Store}
+		follower, stop := operators.followFrom(store)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		operators.write([]string{"o/c"}, nil)
+		time.Sleep(200 * time.Millisecond)
+		if follower.Catalogue() == nil {
+			t.Error("have no configuration 0.2 s after it was written")
+		}
+		if lists := store.lists.Load(); lists < 15 || lists > 25 {
+			t.Errorf("have %d full reads in 3.2 s, want 15 to 25", lists)
+		}
+	})
+}
+
 // follow starts a follower and returns it with a function that ends it.
-func (o *operators) follow() (*entry.Follower, func()) {
+func (o *operators) follow() (*entry.Follower, func()) { return o.followFrom(o.Store) }
+
+// followFrom does so with a store in the place of the operators'.
+func (o *operators) followFrom(store keyvalue.Service) (*entry.Follower, func()) {
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
-	follower := &entry.Follower{Store: o.Store, Metrics: metrics.NewRegistry(), Log: logger, Layout: &entry.StoreLayout{
+	follower := &entry.Follower{Store: store, Metrics: metrics.NewRegistry(), Log: logger, Layout: &entry.StoreLayout{
 		OperatorPrefix: "o/", ConfigurationKey: "o/c",
 		ReadCatalogue: func([]byte) (*catalogue.Catalogue, error) { return &catalogue.Catalogue{Version: 1}, nil },
 		CordonedZone: func(key string) (string, error) {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -38,6 +38,8 @@
 	NotFound = newKind("notFound", http.StatusNotFound)
 	// Gone marks a job that is not known, or no longer known.
 	Gone = newKind("gone", http.StatusGone)
+	// TooLarge marks a call whose answer is larger than this program takes. It may have taken effect.
+	TooLarge = newKind("tooLarge", http.StatusBadGateway)
 	// Denied marks a caller without the required credential.
 	Denied = newKind("denied", http.StatusForbidden)
 )
--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -48,8 +48,8 @@
 	Current []Item
 }
 
-// Events holds the changes after a revision. If Compacted is set, the service no longer has the
-// history since that revision, and the keys have to be read again.
+// Events holds the changes after a revision. If Compacted is set, the history since that revision can't be had: the
+// service has it no longer, or its answer can't be read. The keys have to be read again.
 type Events struct {
 	Items     []Item
 	Revision  int64
@@ -57,7 +57,8 @@
 }
 
 // Service is the key-value service. Errors are errkind.Unavailable if the call had no effect and
-// will have none, and errkind.Ambiguous if it may have taken effect or may yet do so.
+// will have none, errkind.Ambiguous if it may have taken effect or may yet do so, and errkind.TooLarge if its answer
+// is too large to be read.
 type Service interface {
 	// Get returns nil for an absent key.
 	Get(ctx context.Context, key string) (*Item, error)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,7 +132,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case err == nil:
+	case err == nil, errkind.TooLarge.Is(err):
 		if r.failures >= relayAfterFailures {
 			r.Log.Info("relay: the store answers this host again")
 		}
