Long-running tasks may be the trial of a target on probation

Cause: tasks that last were no trials, and a target on probation was open to them only where no other could ever hold them; others full of work of hours counted as if they could.

Evidence: TestLastingTasksAreTriedOnATargetOnProbation failed before ("have 0 of 3 tasks started again within 8s").

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -112,8 +112,8 @@
 	// listedBy is the incarnation of the target that last listed the run as running; 0 if none
 	// has.
 	listedBy int64
-	// atWork says that the target last reported the task of a long-running step as at work.
-	atWork bool
+	// atWorkSince is since when the target reports the task of a long-running step as at work; zero if it does not.
+	atWorkSince time.Time
 	// sentTo is the incarnation of the target that the start was last sent to.
 	sentTo int64
 	// startUnanswered says that a start was sent and not answered, which was first known at
--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -214,7 +214,7 @@
 		if !p.active {
 			continue
 		}
-		if m := n.members[p.trial]; m != nil && m.progress.progressedFor() >= trialProgressTime {
+		if m := n.members[p.trial]; m != nil && m.worksFor(now) >= trialProgressTime {
 			s.endProbation(now, n, "a trial makes progress")
 		} else if p.evidence.get(now) < passedEvidence {
 			s.endProbation(now, n, "the evidence is old")
@@ -222,6 +222,17 @@
 	}
 }
 
+// worksFor returns for how long the run has been seen to make progress, or to be at work if its task lasts.
+func (m *member) worksFor(now time.Time) time.Duration {
+	if !m.unit.step.spec.LongRunning {
+		return m.progress.progressedFor()
+	}
+	if !m.isAtWork() {
+		return 0
+	}
+	return now.Sub(m.atWorkSince)
+}
+
 // progressedFor returns for how long the run has been seen to make progress.
 func (p *progress) progressedFor() time.Duration {
 	if p.stalledFor() > observeInterval {
@@ -324,11 +335,14 @@
 }
 
 // mayBeTrial reports whether a unit may be risked on a target on probation: a failure there leaves it another
-// attempt and the time for it.
+// attempt and the time for it. Tasks that last have attempts and time without a limit, and serve nobody while they wait.
 func (c *candidate) mayBeTrial(u *unit, runSeconds float64) bool {
+	if c.step.spec.LongRunning {
+		return !c.step.spec.Gang
+	}
 	limit := c.step.job.terms.MaxAttempts
 	attemptsLeft := limit == 0 || u.failures+minTrialRuns <= limit
-	return !c.step.spec.Gang && !c.step.spec.LongRunning && c.step.job.terms.Priority > 0 && attemptsLeft && c.expirySlack >= minTrialRuns*runSeconds
+	return !c.step.spec.Gang && c.step.job.terms.Priority > 0 && attemptsLeft && c.expirySlack >= minTrialRuns*runSeconds
 }
 
 // couldHoldUnrestricted reports whether targets that admit the candidate could hold its unit if all runs there
--- a/internal/scheduler/probation_test.go
+++ b/internal/scheduler/probation_test.go
@@ -194,3 +194,31 @@
 		t.Errorf("have %d starts after the pause, want all 8 on t0", len(starts))
 	}
 }
+
+// Guards against: tasks that last and have failed stay down beside room on a target on probation, because other targets
+// could hold them once their runs of hours have ended.
+func TestLastingTasksAreTriedOnATargetOnProbation(t *testing.T) {
+	// mostDown is within what the users allow: 6 s after the last run, and 3 s more.
+	const tasks, mostDown = 3, 8 * time.Second
+	f := occupied(t)
+	f.submit("lasting", "batch", lastingStep(tasks, 1))
+	failing := target.Report{}
+	for i, s := range f.startAll() {
+		failing.Ended = append(failing.Ended, target.Ended{Run: s.Run, Number: int64(2 + i), Outcome: target.Failed})
+	}
+	f.advance(time.Second)
+	f.report(0, failing)
+	if have := f.TargetsOnProbation(); have != 1 || len(failing.Ended) != tasks {
+		t.Fatalf("have %d targets on probation and %d failures, want 1 and %d", have, len(failing.Ended), tasks)
+	}
+	atWork := target.Report{}
+	for begun := f.now; f.now.Sub(begun) < mostDown; f.advance(100 * time.Millisecond) {
+		f.report(0, atWork)
+		for _, s := range f.startAll() {
+			atWork.Running = append(atWork.Running, target.Running{Run: s.Run, Percent: 100})
+		}
+	}
+	if have := len(atWork.Running); have != tasks {
+		t.Errorf("have %d of %d tasks started again within %s", have, tasks, mostDown)
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -84,7 +84,8 @@
 			m.unit.startedAt = now
 		}
 	}
-	m.listedBy, m.atWork = n.Born, running.Percent >= percentAtWork
+	m.listedBy = n.Born
+	m.recordWork(now, running.Percent)
 	u := m.unit
 	if running.Checkpoint != "" {
 		u.checkpoint = running.Checkpoint
@@ -92,6 +93,16 @@
 	s.observe(now, m, running)
 }
 
+// recordWork records whether the task of a long-running step is at work.
+func (m *member) recordWork(now time.Time, percent int) {
+	switch {
+	case percent < percentAtWork:
+		m.atWorkSince = time.Time{}
+	case m.atWorkSince.IsZero():
+		m.atWorkSince = now
+	}
+}
+
 // runEnded handles the end of a run.
 func (s *Scheduler) runEnded(now time.Time, n *node, end target.Ended) {
 	m := n.members[end.Run]
--- a/internal/scheduler/victim.go
+++ b/internal/scheduler/victim.go
@@ -172,7 +172,7 @@
 // isAtWork reports whether the task of a long-running step serves: it has got through its startup and is not
 // being stopped.
 func (m *member) isAtWork() bool {
-	return m.state == memberConfirmed && m.atWork && m.stopDecided.IsZero()
+	return m.state == memberConfirmed && !m.atWorkSince.IsZero() && m.stopDecided.IsZero()
 }
 
 // urgentUseOf returns how many accelerators the runs of priority 0 of an organisation use that are not being
