Tasks of a target that does not answer count as away

Cause: a task counted as at work as its target had last reported it.

Change: those of a target that leaves renewals unanswered for 1.4 s, or has left, count as away.

Evidence: TestTasksOfASilentTargetCountAsAway failed before (a stop with 8 tasks away for 2 s).

--- a/internal/scheduler/probation.go
+++ b/internal/scheduler/probation.go
@@ -227,7 +227,7 @@
 	if !m.unit.step.spec.LongRunning {
 		return m.progress.progressedFor()
 	}
-	if !m.isAtWork() {
+	if !m.isAtWork(now) {
 		return 0
 	}
 	return now.Sub(m.atWorkSince)
--- a/internal/scheduler/reclaim_test.go
+++ b/internal/scheduler/reclaim_test.go
@@ -165,3 +165,31 @@
 		t.Errorf("have starts %v after the job, want the three lasting tasks that were stopped", again)
 	}
 }
+
+// Guards against: a task that lasts is stopped although others of its step are away, on a target that no longer answers.
+func TestTasksOfASilentTargetCountAsAway(t *testing.T) {
+	f := newFixture(t, 2)
+	f.Limits.StopTime = 200 * time.Millisecond
+	step := lastingStep(16, 1)
+	step.MaxUnavailable = 1
+	f.submitFor("without guarantee", "lasting", "batch", step)
+	atWork := map[string]target.Report{}
+	for _, s := range f.startAll() {
+		report := atWork[s.Target]
+		report.Running = append(report.Running, target.Running{Run: s.Run, Percent: 100})
+		atWork[s.Target] = report
+	}
+	f.advance(time.Second)
+	f.report(0, atWork["t0"])
+	for i := range 40 {
+		f.advance(100 * time.Millisecond)
+		f.RenewalSent(f.now, "t0")
+		f.report(1, atWork["t1"])
+		if i == 20 {
+			f.submit("job", "urgent", smallStep(1))
+		}
+		if stops := f.Step(f.now).Stops; len(stops) > 0 {
+			t.Fatalf("have stops %v with 8 tasks away for 2 s, want none", stops)
+		}
+	}
+}
--- a/internal/scheduler/victim.go
+++ b/internal/scheduler/victim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // victim is a unit whose run could be stopped to free capacity.
@@ -161,7 +162,7 @@
 	}
 	away := 0
 	for _, u := range st.units {
-		if len(u.members) < st.spec.Members() || slices.ContainsFunc(u.members, func(m *member) bool { return !m.isAtWork() }) {
+		if len(u.members) < st.spec.Members() || slices.ContainsFunc(u.members, func(m *member) bool { return !m.isAtWork(p.now) }) {
 			away += st.spec.Members()
 		}
 	}
@@ -170,9 +171,9 @@
 }
 
 // isAtWork reports whether the task of a long-running step serves: it has got through its startup and is not
-// being stopped.
-func (m *member) isAtWork() bool {
-	return m.state == memberConfirmed && !m.atWorkSince.IsZero() && m.stopDecided.IsZero()
+// being stopped, and its target answers.
+func (m *member) isAtWork(now time.Time) bool {
+	return m.state == memberConfirmed && !m.atWorkSince.IsZero() && m.stopDecided.IsZero() && !m.node.unresponsive(now) && !m.node.hasLeft(now)
 }
 
 // urgentUseOf returns how many accelerators the runs of priority 0 of an organisation use that are not being
