Unreadable speeds in the store no longer keep planners from taking over

No such record was seen.

Change: the record is logged and ignored; speeds are measured anew.

Evidence: TestUnreadableSpeedsAreIgnored failed before ("no task was started with unreadable speeds in the store").

--- a/internal/coordinator/store_watch.go
+++ b/internal/coordinator/store_watch.go
@@ -58,13 +58,9 @@
 	if sequence != nil {
 		s.sequence = *sequence
 	}
-	speeds := &wire.SpeedsRecord{}
-	if speedsItem, err := s.Store.Get(ctx, records.SpeedsKey); err != nil {
+	speeds, err := s.readSpeeds(ctx)
+	if err != nil {
 		return err
-	} else if speedsItem != nil {
-		if err := records.Decode(speedsItem.Value, speeds); err != nil {
-			return err
-		}
 	}
 	formerLoad, err := s.inheritLoad(ctx)
 	if err != nil {
@@ -94,6 +90,21 @@
 	return nil
 }
 
+// readSpeeds reads the targets' speeds that former planners measured. A record that cannot be decoded is ignored: the
+// speeds are measured anew.
+func (s *session) readSpeeds(ctx context.Context) (*wire.SpeedsRecord, error) {
+	speeds := &wire.SpeedsRecord{}
+	item, err := s.Store.Get(ctx, records.SpeedsKey)
+	if err != nil || item == nil {
+		return speeds, err
+	}
+	if err := records.Decode(item.Value, speeds); err != nil {
+		s.Log.WithError(err).WithField("revision", item.Revision).Error("coordinator: the targets' speeds cannot be decoded and are ignored")
+		return &wire.SpeedsRecord{}, nil
+	}
+	return speeds, nil
+}
+
 // decodeProgress decodes progress records, by key, and returns the keys of those that are unreadable.
 func (s *session) decodeProgress(items []keyvalue.Item) (progress map[string]*wire.ProgressRecord, unreadable map[string]bool) {
 	progress, unreadable = map[string]*wire.ProgressRecord{}, map[string]bool{}
--- a/internal/coordinator/term_test.go
+++ b/internal/coordinator/term_test.go
@@ -189,6 +189,29 @@
 	})
 }
 
+// Guards against: one malformed value, of speeds that only help, keeps every planner from taking over.
+func TestUnreadableSpeedsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, 1)
+		time.Sleep(5 * time.Second)
+		d.stopHosts()
+		if _, err := d.store.Commit(context.Background(), keyvalue.Txn{Puts: []keyvalue.Put{{Key: records.SpeedsKey, Value: []byte("no record")}}}); err != nil {
+			t.Fatalf("Store.Commit: %v", err)
+		}
+		for i := range d.links {
+			d.startHost(i)
+		}
+		time.Sleep(10 * time.Second)
+		before := d.fleet.LastStart()
+		d.submit()
+		time.Sleep(2 * time.Second)
+		if !d.fleet.LastStart().After(before) {
+			t.Error("no task was started with unreadable speeds in the store")
+		}
+		d.stopHosts()
+	})
+}
+
 // Guards against urgent jobs that wait while the records of others are written: a surge of jobs, or a
 // takeover, takes many transactions, and the starts of the first ones are due after their own.
 func TestStartsFollowTheirOwnTransaction(t *testing.T) {
