A gang that lasts waits for one rack for 0.2 s only

Cause: on a service that is more than half used it waited without a bound for a rack that could hold it once the work there had ended.

Change: the wait is 0.2 s for gangs that last; then they take room in several racks, also in reservations.

Evidence: TestLastingGangWaitsForOneRackForAShortTime failed before ("have no start within 4s").

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -65,6 +65,8 @@
 	waitsSince time.Time
 	// keptOutSince is since when free capacity that is kept for others is all that the step would fit into.
 	keptOutSince time.Time
+	// rackWaitSince is since when the gang, which lasts, waits for one rack; zero if it does not.
+	rackWaitSince time.Time
 	// searchAgainAt is when runs to stop for the step are next searched for.
 	searchAgainAt time.Time
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -15,6 +15,8 @@
 	// mostlyUsedShare is the share of a service's capacity in use above which a gang waits for
 	// capacity in one rack instead of running spread over several.
 	mostlyUsedShare = 0.5
+	// maxRackWait is how long a gang that lasts waits for a rack while others have room for it together.
+	maxRackWait = 200 * time.Millisecond
 	// idlePassInterval is the longest time between two passes while steps wait to be placed
 	// and nothing but the time has changed.
 	idlePassInterval = 500 * time.Millisecond
@@ -109,6 +111,8 @@
 	// usesHeadroom says that the unit may use what is kept for priority 0, and usesReserved that it may use
 	// what is reserved for steps that wait.
 	usesHeadroom, usesReserved bool
+	// hasWaitedForRack says that the unit may be spread over racks.
+	hasWaitedForRack bool
 	// urgent says that the unit has priority 0, and mayBeTrial that it may be risked on a target on probation.
 	urgent, mayBeTrial bool
 	// limited is the unit's step if it has a limit per target.
@@ -157,6 +161,7 @@
 	c.lateCostFactor = p.lateCostFactor(c)
 	for _, u := range c.startableUnits {
 		requirements := c.requirements()
+		requirements.hasWaitedForRack = p.hasWaitedForRack(c)
 		requirements.mayBeTrial = p.restricted > 0 && c.mayBeTrial(u, p.runSeconds(c, 1))
 		if keptOut, known := p.unplaceable[requirements]; known {
 			p.leaveWaiting(c, requirements, keptOut)
@@ -241,12 +246,35 @@
 		}
 		return best
 	}
-	if best.openNodes != nil || (p.rackCouldHold(c, count) && p.mostlyUsed(c)) {
+	if best.openNodes != nil {
+		return best
+	}
+	if p.waitsForRack(c, count) && p.mostlyUsed(c) {
+		p.beginRackWait(c)
 		return best
 	}
 	return p.placeMembers(c, p.candidateNodes(c), count, max(p.s.Limits.RemoteFactor, 1))
 }
 
+// waitsForRack reports whether a gang waits until some rack can hold it. One that lasts does so for maxRackWait: it serves
+// nobody meanwhile, and what runs in the racks may take hours.
+func (p *pass) waitsForRack(c *candidate, count int) bool {
+	return !p.hasWaitedForRack(c) && p.rackCouldHold(c, count)
+}
+
+func (p *pass) hasWaitedForRack(c *candidate) bool {
+	since := c.step.rackWaitSince
+	return c.step.spec.LongRunning && !since.IsZero() && p.now.Sub(since) >= maxRackWait
+}
+
+// beginRackWait records that a gang waits for a rack, unless it does so already.
+func (p *pass) beginRackWait(c *candidate) {
+	if c.step.spec.LongRunning && c.step.rackWaitSince.IsZero() {
+		c.step.rackWaitSince = p.now
+		p.s.wakeAt(p.now.Add(maxRackWait))
+	}
+}
+
 // mostlyUsed reports whether so much of a service is in use that a gang spread over racks,
 // which runs longer, would take capacity that others need.
 func (p *pass) mostlyUsed(c *candidate) bool {
@@ -283,7 +311,7 @@
 func (p *pass) startRun(c *candidate, u *unit, chosen placement) {
 	j := c.step.job
 	u.run++
-	u.startedAt = time.Time{}
+	u.startedAt, c.step.rackWaitSince = time.Time{}, time.Time{}
 	for i, n := range chosen.openNodes {
 		m := newMember(u, i, n.node, memberAwaitingWrite)
 		p.s.attach(m)
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -74,7 +74,7 @@
 // nodeSets returns the sets of targets within which a unit may be placed: each rack for a gang
 // that should run in one rack and that some rack could hold, otherwise all targets.
 func (p *pass) nodeSets(c *candidate, count int) [][]*freeCapacity {
-	if !c.step.spec.Gang || !c.step.spec.SameRack || !p.rackCouldHold(c, count) {
+	if !c.step.spec.Gang || !c.step.spec.SameRack || !p.waitsForRack(c, count) {
 		return [][]*freeCapacity{p.openNodes}
 	}
 	return p.racks
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -167,3 +167,36 @@
 		t.Errorf("have starts %v, want one of the second occurrence", starts)
 	}
 }
+
+// Guards against: a gang that lasts and was lost stays down beside room for it in several racks, for as long as work that
+// ends by itself some time fills each of them.
+func TestLastingGangWaitsForOneRackForAShortTime(t *testing.T) {
+	const targets, mostWait = 12, 4 * time.Second
+	f := newFixture(t, targets)
+	others := wideStep(targets-3, false)
+	others.Estimate = time.Hour
+	for i := range targets {
+		listing := f.listing(i)
+		if i%4 != 0 {
+			listing.Labels = []string{"others"}
+		}
+		f.TargetListed(f.now, listing)
+	}
+	others.RequiredLabel = "others"
+	f.submit("others", "batch", others)
+	if starts := f.startAll(); len(starts) != targets-3 {
+		t.Fatalf("have %d starts, want %d", len(starts), targets-3)
+	}
+	gang := lastingStep(2, 8)
+	gang.Gang, gang.SameRack = true, true
+	f.submit("gang", "batch", gang)
+	if starts := f.startAll(); len(starts) != 0 {
+		t.Errorf("have starts %v at once, want none before it has waited for a rack", starts)
+	}
+	for begun := f.now; f.now.Sub(begun) < mostWait; f.advance(100 * time.Millisecond) {
+		if starts := f.startAll(); len(starts) > 0 {
+			return
+		}
+	}
+	t.Errorf("have no start within %s", mostWait)
+}
