Targets with tasks that last are granted leases of 6 s at most

Cause: each lease was the longest, and a task is given up when its lease has ended by the slowest clock.

Change: a target with tasks that last is granted 6 s at most. The others keep theirs, by which they outlive longer cuts.

Evidence: TestLastingTasksOfALostTargetStartElsewhereInTime failed before.

--- a/internal/scheduler/node.go
+++ b/internal/scheduler/node.go
@@ -21,6 +21,8 @@
 	// listedSilence is how long, after its leases have ended, a target whose entry stays may be
 	// silent before its runs are given up.
 	listedSilence = 5 * time.Second
+	// lastingLease bounds the lease of a target with tasks that last, which may not be down for long if it is lost.
+	lastingLease = 6 * time.Second
 	// drainingLease bounds the lease of a draining target.
 	drainingLease = 3500 * time.Millisecond
 	// refusalPause is how long a target is given no new work after it refused a start.
@@ -259,6 +261,9 @@
 		return 0
 	}
 	lease := s.Limits.TaskLease
+	if n.lastingUse != (workload.Resources{}) {
+		lease = min(lease, lastingLease)
+	}
 	if n.Draining {
 		// A draining target leaves without notice, and its runs can be started elsewhere only
 		// after its lease has ended.
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -121,3 +121,34 @@
 		}
 	}
 }
+
+// Guards against: tasks that last are down for longer than users allow, 9 s, where targets grant leases of 10 s.
+func TestLastingTasksOfALostTargetStartElsewhereInTime(t *testing.T) {
+	const mostDown = 9 * time.Second
+	f := newFixture(t, 2)
+	f.Limits.TaskLease = 10 * time.Second
+	f.submit("lasting", "batch", lastingStep(1, 1))
+	first := f.startAll()[0]
+	if first.Target != "t0" {
+		t.Fatalf("have a start on %s, want t0", first.Target)
+	}
+	for range 60 {
+		f.advance(100 * time.Millisecond)
+		f.RenewalSent(f.now, "t0")
+		f.Deadline(f.now, "t0")
+		f.report(0, target.Report{Running: []target.Running{{Run: first.Run, Percent: 100}}})
+	}
+	lost := f.now
+	f.advance(100 * time.Millisecond)
+	if starts := f.silence(4500 * time.Millisecond); len(starts) > 0 {
+		t.Fatalf("have starts %v while the lease lasts, want none", starts)
+	}
+	f.TargetUnlisted(f.now, "t0")
+	for ; f.now.Sub(lost) < mostDown; f.advance(100 * time.Millisecond) {
+		f.report(1, target.Report{})
+		if len(f.Step(f.now).Starts) > 0 {
+			return
+		}
+	}
+	t.Errorf("not started elsewhere within %s", mostDown)
+}
