--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -11,8 +11,8 @@
 const (
 	healthPeriod = 500 * time.Millisecond
 	// maxBehind is how much longer ago than the store's last answer to this host the configuration may have
-	// been confirmed; a watch is answered at least every second.
-	maxBehind = 6 * time.Second
+	// been confirmed. A watch is answered every second, but over a slow link a large configuration takes long.
+	maxBehind = 20 * time.Second
 )
 
 // watchHealth checks until ctx ends whether the configuration is followed. A loop that hangs does not end, so
