The test of a configuration that panics sees whether its loop ended

It passed with the decoder's guard taken out, as the loop that ended was started again. It now asks that the loop has not ended, and fails without the guard. The product's code is unchanged.

--- a/internal/entry/loops_test.go
+++ b/internal/entry/loops_test.go
@@ -121,6 +121,9 @@
 				t.Errorf("after %q: have %+v, want the last version that can be decoded", value, current)
 			}
 		}
+		if have := metrics.GetOrRegisterCounter("background.ended.configuration", e.Registry).Count(); have != 0 {
+			t.Errorf("the loop that follows the configuration has ended %d times, want none", have)
+		}
 		stop()
 	})
 }
